Thin path: control, balancer, agent and a fake backend server as processes

A service document is applied to one control instance in memory, an agent announces its backend server, a balancer follows the feed and hands a caller's HTTP/1.1 request to the agent. Without an agent the answer is 503, outcome notrun.

--- /dev/null
+++ b/cmd/cardamomring/backend.go
@@ -0,0 +1,33 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"time"
+
+	"cardamomring.dev/internal/crfake"
+)
+
+// backendArgs are the arguments of backend.
+type backendArgs struct {
+	Listen string        `arg:"-l,--listen,required" placeholder:"HOST:PORT" help:"address to listen on"`
+	Name   string        `arg:"-n,--name" default:"backend" help:"name in each answer"`
+	Time   time.Duration `arg:"-t,--time" default:"5ms" help:"time that one request takes"`
+}
+
+// runBackend runs a fake backend server until ctx ends.
+func runBackend(ctx context.Context, a *backendArgs, errOut io.Writer) int {
+	backend := &crfake.Backend{Addr: a.Listen, Name: a.Name, Service: a.Time}
+	if err := backend.Start(); err != nil {
+		fmt.Fprintln(errOut, err)
+		return exitFailed
+	}
+	fmt.Fprintf(errOut, "%s listens on %s\n", a.Name, backend.Bound())
+	<-ctx.Done()
+	if err := backend.Close(); err != nil {
+		fmt.Fprintln(errOut, err)
+		return exitFailed
+	}
+	return exitOK
+}
--- /dev/null
+++ b/cmd/cardamomring/role.go
@@ -0,0 +1,67 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+
+	"cardamomring.dev/internal/cragent"
+	"cardamomring.dev/internal/crbalancer"
+	"cardamomring.dev/internal/crcontrol"
+	"cardamomring.dev/internal/crobs"
+	"cardamomring.dev/pkg/crdoc"
+)
+
+// role is a long-running role.
+type role int
+
+const (
+	roleBalancer role = iota
+	roleAgent
+	roleControl
+)
+
+// runRole runs a role from its settings file until ctx ends.
+func runRole(ctx context.Context, kind role, file string, errOut io.Writer) int {
+	settings, err := loadSettings(file)
+	if err != nil {
+		fmt.Fprintln(errOut, err)
+		return exitUsage
+	}
+	logger, err := crobs.NewLog(settings.Log, errOut)
+	if err != nil {
+		fmt.Fprintln(errOut, err)
+		return exitUsage
+	}
+	ready := func(addr string) { logger.Infof("%s listens on %s", settings.Name, addr) }
+	switch kind {
+	case roleBalancer:
+		err = (&crbalancer.Balancer{Settings: settings, Ready: ready, Logf: logger.Warnf}).Run(ctx)
+	case roleAgent:
+		err = (&cragent.Agent{Settings: settings, Ready: ready, Logf: logger.Warnf}).Run(ctx)
+	case roleControl:
+		err = (&crcontrol.Control{Settings: settings, Ready: ready, Logf: logger.Infof}).Run(ctx)
+	}
+	if err != nil {
+		logger.Errorf("%s stopped: %v", settings.Name, err)
+		return exitFailed
+	}
+	logger.Infof("%s stopped", settings.Name)
+	return exitOK
+}
+
+// loadSettings reads and checks a settings file.
+func loadSettings(file string) (*crdoc.Settings, error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return nil, fmt.Errorf("read settings: %w", err)
+	}
+	settings, err := crdoc.ParseSettings(data)
+	var findings crdoc.Findings
+	if errors.As(err, &findings) {
+		return nil, findings.In(file)
+	}
+	return settings, err
+}
--- /dev/null
+++ b/internal/cradmit/doc.go
@@ -0,0 +1,2 @@
+// Package cradmit decides which request runs when.
+package cradmit
--- /dev/null
+++ b/internal/cragent/agent.go
@@ -0,0 +1,135 @@
+// Package cragent is the agent role: one process beside each backend server.
+// It announces the backend server, holds the flows of callers and runs their
+// requests within the backend server's limit.
+package cragent
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"cardamomring.dev/internal/crfeed"
+	"cardamomring.dev/internal/crnet"
+	"cardamomring.dev/internal/crrun"
+	"cardamomring.dev/internal/crwire"
+	"cardamomring.dev/pkg/crdoc"
+)
+
+const (
+	// announceEvery is how often the lease is renewed.
+	announceEvery = time.Second
+	// announceTimeout bounds one announcement.
+	announceTimeout = time.Second
+	// stopGrace bounds a graceful stop when no document names one.
+	stopGrace = 10 * time.Second
+)
+
+// Agent is one agent. Set the exported fields before Run.
+type Agent struct {
+	// Settings are checked settings with an Agent section.
+	Settings *crdoc.Settings
+	// Ready is called with the bound run address once the agent listens.
+	Ready func(run string)
+	// Logf writes a log line for a change of state.
+	Logf func(format string, args ...any)
+
+	client *crnet.Client
+	caller *crrun.Caller
+	view   atomic.Pointer[crwire.View]
+	member crwire.Member
+	state  atomic.Int64
+	loops  sync.WaitGroup
+}
+
+// Run serves until ctx ends; then it drains and stops.
+func (a *Agent) Run(ctx context.Context) error {
+	set := a.Settings.Agent
+	a.client = &crnet.Client{}
+	a.client.Open()
+	defer a.client.Close()
+	a.caller = &crrun.Caller{Client: a.client}
+	a.view.Store(crfeed.Empty())
+	server := &crnet.Server{Addr: set.Run, Handler: http.HandlerFunc(a.serveRun)}
+	if err := server.Start(); err != nil {
+		return err
+	}
+	a.member = crwire.Member{
+		Name: a.Settings.Name, Service: set.Service, Zone: a.Settings.Zone, Host: set.Host,
+		Run: server.Bound(), Datagram: set.Datagram, Weight: set.Weight,
+	}
+	loopCtx, cancel := context.WithCancel(context.Background())
+	a.start(loopCtx)
+	a.Ready(server.Bound())
+	<-ctx.Done()
+	err := a.drain(server)
+	cancel()
+	a.loops.Wait()
+	return err
+}
+
+// start runs the agent's loops until ctx ends.
+func (a *Agent) start(ctx context.Context) {
+	follower := &crfeed.Follower{
+		Client: a.client, Sources: a.Settings.Control, Took: a.took, Failed: a.failed,
+	}
+	a.loops.Go(func() { follower.Run(ctx) })
+	a.loops.Go(func() { a.loop(ctx) })
+}
+
+// drain tells control that the agent leaves and finishes what is under way.
+func (a *Agent) drain(server *crnet.Server) error {
+	ctx, cancel := context.WithTimeout(context.Background(), stopGrace)
+	defer cancel()
+	a.setState(crwire.MemberDraining)
+	a.announce(ctx)
+	err := server.Stop(ctx)
+	a.setState(crwire.MemberGone)
+	a.announce(ctx)
+	if errors.Is(err, context.DeadlineExceeded) {
+		a.Logf("stopped with requests under way after %s", stopGrace)
+	}
+	return err
+}
+
+// took stores a later view.
+func (a *Agent) took(v *crwire.View) { a.view.Store(v) }
+
+// failed notes a failed poll of the feed.
+func (a *Agent) failed(source string, err error) {
+	a.Logf("feed of %s: %v", source, err)
+}
+
+// setState changes the state that is announced.
+func (a *Agent) setState(s crwire.MemberState) { a.state.Store(int64(s)) }
+
+// loop announces the agent until ctx ends.
+func (a *Agent) loop(ctx context.Context) {
+	tick := time.NewTicker(announceEvery)
+	defer tick.Stop()
+	for {
+		a.announce(ctx)
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// announce renews the lease at the first control instance that answers.
+func (a *Agent) announce(ctx context.Context) {
+	m := a.member
+	m.State = crwire.MemberState(a.state.Load())
+	for _, addr := range a.Settings.Control {
+		callCtx, cancel := context.WithTimeout(ctx, announceTimeout)
+		var answer crwire.Announced
+		err := a.client.JSON(callCtx, addr, "/announce", crwire.Announce{Member: m}, &answer)
+		cancel()
+		if err == nil {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/crbalancer/balancer.go
@@ -0,0 +1,99 @@
+// Package crbalancer is the balancer role: a thin entry instance that holds
+// nothing that is lost with it.
+package crbalancer
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/lesismal/nbio/logging"
+	"github.com/lesismal/nbio/nbhttp"
+
+	"cardamomring.dev/internal/crfeed"
+	"cardamomring.dev/internal/crnet"
+	"cardamomring.dev/internal/crrun"
+	"cardamomring.dev/internal/crwire"
+	"cardamomring.dev/pkg/crdoc"
+)
+
+const (
+	// stopGrace bounds a graceful stop.
+	stopGrace = 10 * time.Second
+	// stopPoll is how often a stop looks for requests under way.
+	stopPoll = 10 * time.Millisecond
+)
+
+// Balancer is one balancer. Set the exported fields before Run.
+type Balancer struct {
+	// Settings are checked settings with a Balancer section.
+	Settings *crdoc.Settings
+	// Ready is called with the bound HTTP address once the balancer listens.
+	Ready func(addr string)
+	// Logf writes a log line for a change of state.
+	Logf func(format string, args ...any)
+
+	client  *crnet.Client
+	caller  *crrun.Caller
+	view    atomic.Pointer[crwire.View]
+	running atomic.Int64
+	loops   sync.WaitGroup
+}
+
+// Run serves until ctx ends; then it finishes the requests under way.
+func (b *Balancer) Run(ctx context.Context) error {
+	b.client = &crnet.Client{}
+	b.client.Open()
+	defer b.client.Close()
+	b.caller = &crrun.Caller{Client: b.client}
+	b.view.Store(crfeed.Empty())
+	tcp, err := net.Listen("tcp", b.Settings.Balancer.HTTP)
+	if err != nil {
+		return fmt.Errorf("listen on %s: %w", b.Settings.Balancer.HTTP, err)
+	}
+	listener := newPausedListener(tcp)
+	addr := listener.Addr().String()
+	logging.SetLevel(logging.LevelNone)
+	engine := nbhttp.NewEngine(nbhttp.Config{
+		Network: "tcp",
+		Addrs:   []string{addr},
+		Listen:  func(string, string) (net.Listener, error) { return listener, nil },
+		Handler: http.HandlerFunc(b.serveHTTP),
+	})
+	if err := engine.Start(); err != nil {
+		return fmt.Errorf("start the HTTP engine: %w", err)
+	}
+	loopCtx, cancel := context.WithCancel(context.Background())
+	follower := &crfeed.Follower{
+		Client: b.client, Sources: b.Settings.Control, Took: b.took, Failed: b.failed,
+	}
+	b.loops.Go(func() { follower.Run(loopCtx) })
+	b.Ready(addr)
+	<-ctx.Done()
+	err = listener.Pause()
+	b.drain()
+	cancel()
+	b.loops.Wait()
+	engine.Stop()
+	return err
+}
+
+// drain waits for the requests under way, at most stopGrace.
+func (b *Balancer) drain() {
+	end := time.Now().Add(stopGrace)
+	for b.running.Load() > 0 && time.Now().Before(end) {
+		time.Sleep(stopPoll)
+	}
+}
+
+// took stores a later view.
+func (b *Balancer) took(v *crwire.View) { b.view.Store(v) }
+
+// failed notes a failed poll of the feed.
+func (b *Balancer) failed(source string, err error) {
+	b.Logf("feed of %s: %v", source, err)
+}
--- /dev/null
+++ b/internal/crfeed/apply.go
@@ -0,0 +1,66 @@
+package crfeed
+
+import (
+	"fmt"
+	"maps"
+
+	"cardamomring.dev/internal/crwire"
+	"cardamomring.dev/pkg/crdoc"
+)
+
+// Empty returns the view before the first revision.
+func Empty() *crwire.View {
+	return &crwire.View{Services: map[string]*crdoc.Service{}, Members: map[uint32]crwire.Member{}}
+}
+
+// Apply returns the view after a delta; v stays as it is.
+func Apply(v *crwire.View, d *crwire.Delta) (*crwire.View, error) {
+	if d.From != v.Revision {
+		return nil, fmt.Errorf("delta starts at revision %d, the view is at %d", d.From, v.Revision)
+	}
+	next := &crwire.View{Revision: d.To, Services: v.Services, Out: v.Out, Members: v.Members}
+	if len(d.Services) > 0 {
+		next.Services = maps.Clone(v.Services)
+		for _, s := range d.Services {
+			next.Services[s.Name] = s
+		}
+	}
+	if d.Zoned {
+		next.Out = d.Out
+	}
+	if len(d.Members) > 0 {
+		next.Members = maps.Clone(v.Members)
+		for _, m := range d.Members {
+			setMember(next.Members, m)
+		}
+	}
+	return next, nil
+}
+
+// setMember sets an agent or removes one that is gone.
+func setMember(members map[uint32]crwire.Member, m crwire.Member) {
+	if m.State == crwire.MemberGone {
+		delete(members, m.Num)
+		return
+	}
+	members[m.Num] = m
+}
+
+// Take returns the view after an answer of the feed. It never goes back: a
+// lower or equal revision returns v itself.
+func Take(v *crwire.View, f *crwire.Feed) (*crwire.View, error) {
+	if f.Snapshot != nil && f.Snapshot.Revision > v.Revision {
+		v = f.Snapshot
+	}
+	for i := range f.Deltas {
+		if f.Deltas[i].To <= v.Revision {
+			continue
+		}
+		next, err := Apply(v, &f.Deltas[i])
+		if err != nil {
+			return v, err
+		}
+		v = next
+	}
+	return v, nil
+}
--- /dev/null
+++ b/internal/crfeed/doc.go
@@ -0,0 +1,2 @@
+// Package crfeed carries the configuration to daemons.
+package crfeed
--- /dev/null
+++ b/internal/crflow/doc.go
@@ -0,0 +1,2 @@
+// Package crflow holds the flow table of an agent.
+package crflow
--- /dev/null
+++ b/internal/crquorum/doc.go
@@ -0,0 +1,2 @@
+// Package crquorum replicates a log over control instances.
+package crquorum
--- /dev/null
+++ b/internal/crroute/doc.go
@@ -0,0 +1,2 @@
+// Package crroute builds routing tables and routable connection IDs.
+package crroute
--- /dev/null
+++ b/internal/crstate/doc.go
@@ -0,0 +1,2 @@
+// Package crstate is the state machine over the replicated log.
+package crstate
--- /dev/null
+++ b/internal/crstore/doc.go
@@ -0,0 +1,2 @@
+// Package crstore keeps the replicated log on disk.
+package crstore
--- /dev/null
+++ b/internal/crwire/change.go
@@ -0,0 +1,92 @@
+package crwire
+
+import (
+	"time"
+
+	"cardamomring.dev/pkg/crdoc"
+)
+
+// Kind is what a log entry does.
+type Kind int
+
+const (
+	// KindApply sets a service document, by compare-and-set on its version.
+	KindApply Kind = iota
+	// KindZoneOut takes an availability zone out of service.
+	KindZoneOut
+	// KindZoneIn brings it back.
+	KindZoneIn
+	// KindMembers sets the state of agents.
+	KindMembers
+	// KindClaims claims keyed requests.
+	KindClaims
+	// KindOutcomes records the outcomes of claimed requests.
+	KindOutcomes
+)
+
+// Code is how control answered a change.
+type Code int
+
+const (
+	// CodeOK says that the change is committed.
+	CodeOK Code = iota
+	// CodeConflict says that another change won the version.
+	CodeConflict
+	// CodeInvalid says that the document has findings.
+	CodeInvalid
+	// CodeUnavailable says that no quorum answered: the change may or may
+	// not be committed, and the same ID may be sent again.
+	CodeUnavailable
+	// CodeDenied says that the operator is not allowed to.
+	CodeDenied
+)
+
+// Change is an operator's change.
+type Change struct {
+	// ID is chosen by the operator's client; the same ID gets the same answer.
+	ID string `json:"id"`
+	// Author is set by control from the operator's credentials.
+	Author string `json:"author"`
+	// Kind is KindApply, KindZoneOut or KindZoneIn.
+	Kind Kind `json:"kind"`
+	// Service is the document of KindApply.
+	Service *crdoc.Service `json:"service,omitempty"`
+	// Zone is the zone of KindZoneOut and KindZoneIn.
+	Zone string `json:"zone,omitempty"`
+}
+
+// Result answers a change.
+type Result struct {
+	Code Code `json:"code"`
+	// Revision is the revision that holds the change, or the one in force.
+	Revision uint64 `json:"rev"`
+	// Version is the document's version in force after the change.
+	Version uint64 `json:"version,omitempty"`
+	// Winner is the author of the change that won, on a conflict.
+	Winner string `json:"winner,omitempty"`
+	// Findings are what is wrong, on an invalid document.
+	Findings []crdoc.Finding `json:"findings,omitempty"`
+	// Text says it to people.
+	Text string `json:"text,omitempty"`
+}
+
+// Audit is one line of the audit trail.
+type Audit struct {
+	// Revision is the revision after the change.
+	Revision uint64 `json:"rev"`
+	// Time is the leader's clock when it proposed the change.
+	Time time.Time `json:"time"`
+	// Author is the operator.
+	Author string `json:"author"`
+	// ID is the change's ID.
+	ID string `json:"id"`
+	// Kind is what was asked.
+	Kind Kind `json:"kind"`
+	// Subject is the service or zone.
+	Subject string `json:"subject"`
+	// From and To are the versions before and after.
+	From uint64 `json:"from"`
+	To   uint64 `json:"to"`
+	// Code is how it was answered.
+	Code Code `json:"code"`
+}
--- /dev/null
+++ b/internal/crwire/doc.go
@@ -0,0 +1,6 @@
+// Package crwire holds the messages between the system's own processes:
+// members, views and deltas of the configuration, changes, announcements,
+// claims, and the headers of a run call. The package is pure.
+package crwire
+
+//go:generate enumer -type=MemberState,Kind,Code,Outcome,Verdict -text -trimprefix=Member,Kind,Code,Outcome,Verdict -transform=lower -output=enum_gen.go
--- /dev/null
+++ b/pkg/crcall/doc.go
@@ -0,0 +1,2 @@
+// Package crcall is the callers' client.
+package crcall
--- /dev/null
+++ b/pkg/crdoc/finding.go
@@ -0,0 +1,63 @@
+package crdoc
+
+import (
+	"fmt"
+	"strings"
+)
+
+// Finding is one thing wrong in a document, with its place.
+type Finding struct {
+	// File is the file's path, empty for a document that came by the network.
+	File string `json:"file,omitempty"`
+	// Place is the path of the field, such as "classes[1].deadline".
+	Place string `json:"place,omitempty"`
+	// Text says what is wrong and what is wanted.
+	Text string `json:"text"`
+}
+
+// String writes the finding on one line.
+func (f Finding) String() string {
+	parts := make([]string, 0, 3)
+	if f.File != "" {
+		parts = append(parts, f.File)
+	}
+	if f.Place != "" {
+		parts = append(parts, f.Place)
+	}
+	return strings.Join(append(parts, f.Text), ": ")
+}
+
+// Findings collects findings; its zero value is empty.
+type Findings []Finding
+
+// Add records a finding at a place.
+func (f *Findings) Add(place, format string, args ...any) {
+	*f = append(*f, Finding{Place: place, Text: fmt.Sprintf(format, args...)})
+}
+
+// In returns the findings with the file's path set.
+func (f Findings) In(file string) Findings {
+	out := make(Findings, len(f))
+	for i, finding := range f {
+		finding.File = file
+		out[i] = finding
+	}
+	return out
+}
+
+// Error lists all findings, one a line.
+func (f Findings) Error() string {
+	lines := make([]string, len(f))
+	for i, finding := range f {
+		lines[i] = finding.String()
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Err returns f as an error, or nil when it is empty.
+func (f Findings) Err() error {
+	if len(f) == 0 {
+		return nil
+	}
+	return f
+}
--- /dev/null
+++ b/pkg/croper/doc.go
@@ -0,0 +1,2 @@
+// Package croper is the operators' client.
+package croper
