--- a/cmd/cardamomring/role.go
+++ b/cmd/cardamomring/role.go
@@ -7,6 +7,8 @@
 	"io"
 	"os"
 
+	"github.com/prometheus/client_golang/prometheus"
+
 	"cardamomring.dev/internal/cragent"
 	"cardamomring.dev/internal/crbalancer"
 	"cardamomring.dev/internal/crcontrol"
@@ -36,13 +38,14 @@
 		return exitUsage
 	}
 	ready := func(addr string) { logger.Infof("%s listens on %s", settings.Name, addr) }
+	registry := prometheus.NewRegistry()
 	switch kind {
 	case roleBalancer:
-		err = (&crbalancer.Balancer{Settings: settings, Ready: ready, Logf: logger.Warnf}).Run(ctx)
+		err = (&crbalancer.Balancer{Settings: settings, Ready: ready, Registry: registry, Logf: logger.Warnf}).Run(ctx)
 	case roleAgent:
-		err = (&cragent.Agent{Settings: settings, Ready: ready, Logf: logger.Warnf}).Run(ctx)
+		err = (&cragent.Agent{Settings: settings, Ready: ready, Registry: registry, Logf: logger.Warnf}).Run(ctx)
 	case roleControl:
-		err = (&crcontrol.Control{Settings: settings, Ready: ready, Logf: logger.Infof}).Run(ctx)
+		err = (&crcontrol.Control{Settings: settings, Ready: ready, Registry: registry, Logf: logger.Infof}).Run(ctx)
 	}
 	if err != nil {
 		logger.Errorf("%s stopped: %v", settings.Name, err)
--- a/internal/cragent/agent.go
+++ b/internal/cragent/agent.go
@@ -11,6 +11,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
+
 	"cardamomring.dev/internal/crfeed"
 	"cardamomring.dev/internal/crnet"
 	"cardamomring.dev/internal/crrun"
@@ -33,6 +35,8 @@
 	Settings *crdoc.Settings
 	// Ready is called with the bound run address once the agent listens.
 	Ready func(run string)
+	// Registry takes the role's metrics.
+	Registry *prometheus.Registry
 	// Logf writes a log line for a change of state.
 	Logf func(format string, args ...any)
 
--- a/internal/crbalancer/balancer.go
+++ b/internal/crbalancer/balancer.go
@@ -13,6 +13,7 @@
 
 	"github.com/lesismal/nbio/logging"
 	"github.com/lesismal/nbio/nbhttp"
+	"github.com/prometheus/client_golang/prometheus"
 
 	"cardamomring.dev/internal/crfeed"
 	"cardamomring.dev/internal/crnet"
@@ -34,6 +35,8 @@
 	Settings *crdoc.Settings
 	// Ready is called with the bound HTTP address once the balancer listens.
 	Ready func(addr string)
+	// Registry takes the role's metrics.
+	Registry *prometheus.Registry
 	// Logf writes a log line for a change of state.
 	Logf func(format string, args ...any)
 
--- a/internal/crcontrol/control.go
+++ b/internal/crcontrol/control.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
+
 	"cardamomring.dev/internal/crfeed"
 	"cardamomring.dev/internal/crnet"
 	"cardamomring.dev/internal/crstate"
@@ -31,6 +33,8 @@
 	Settings *crdoc.Settings
 	// Ready is called with the bound address once the instance listens.
 	Ready func(addr string)
+	// Registry takes the role's metrics.
+	Registry *prometheus.Registry
 	// Logf writes a log line for a change of state.
 	Logf func(format string, args ...any)
 
