Find everything wrong in a document at once, with line and column

Aim: a document with five mistakes gives five findings, also when one is an unknown field or a wrong type; encoding/json stops at the first of these and names no place for an unknown field.

Weighed: encoding/json with DisallowUnknownFields in a loop (each finding costs a second pass and the place of a semantic finding stays unknown) against reading a tree of tokens with offsets and binding it to the struct by reflection. Field names are matched exactly and a field that stands twice is a finding.

--- a/cmd/cardamomring/role.go
+++ b/cmd/cardamomring/role.go
@@ -61,7 +61,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("read settings: %w", err)
 	}
-	settings, err := crdoc.ParseSettings(data)
+	settings, err := crdoc.ParseSettings(data, os.ReadFile)
 	var findings crdoc.Findings
 	if errors.As(err, &findings) {
 		return nil, findings.In(file)
--- a/pkg/crdoc/check.go
+++ b/pkg/crdoc/check.go
@@ -2,52 +2,201 @@
 
 import (
 	"fmt"
-	"net"
+	"net/netip"
+	"regexp"
 	"slices"
+	"strings"
 )
 
-// Check returns everything wrong with the document.
+// headroomMax is the largest share of a limit that may stay free.
+const headroomMax = 0.9
+
+// namePattern is the form of names of services, classes, zones and processes.
+var namePattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?$`)
+
+// methodPattern is the form of an HTTP method.
+var methodPattern = regexp.MustCompile(`^[A-Z]+$`)
+
+// hostPattern is the form of an HTTP host name without a port.
+var hostPattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9.-]*[a-z0-9])?$`)
+
+// Check returns everything wrong with the document. Zones that are not in
+// zones are reported unless zones is empty.
 func (s *Service) Check(zones []string) Findings {
 	var f Findings
-	if s.Name == "" {
-		f.Add("name", "is missing")
+	checkName(&f, "name", s.Name)
+	if s.Customer == "" {
+		f.Add("customer", "is missing")
 	}
-	checkAddress(&f, "address", s.Address)
+	checkAddress(&f, "address", s.Address, 1)
+	checkList(&f, "hosts", s.Hosts, func(place, host string) {
+		if !hostPattern.MatchString(host) {
+			f.Add(place, "%q: want a host name in lower case, without a port", host)
+		}
+	})
 	if len(s.Zones) == 0 {
 		f.Add("zones", "name at least one availability zone")
 	}
-	for i, zone := range s.Zones {
-		if len(zones) > 0 && !slices.Contains(zones, zone) {
-			f.Add(fmt.Sprintf("zones[%d]", i), "availability zone %q is not listed", zone)
+	checkList(&f, "zones", s.Zones, func(place, zone string) { checkZone(&f, place, zone, zones) })
+	s.Limit.check(&f)
+	s.checkClasses(&f)
+	s.checkTimes(&f)
+	return f
+}
+
+// CheckAgainst returns where the document claims what another service has:
+// its name is skipped, its address and hosts must be its own.
+func (s *Service) CheckAgainst(others []*Service) Findings {
+	var f Findings
+	for _, other := range others {
+		if other.Name == s.Name {
+			continue
+		}
+		if other.Address == s.Address {
+			f.Add("address", "%s is the address of service %s", s.Address, other.Name)
+		}
+		for i, host := range s.Hosts {
+			if slices.Contains(append([]string{other.Name}, other.Hosts...), host) {
+				f.Add(fmt.Sprintf("hosts[%d]", i), "%q selects service %s", host, other.Name)
+			}
 		}
 	}
-	if s.Limit.Start < 1 {
-		f.Add("limit.start", "must be at least 1")
+	return f
+}
+
+// check reports what is wrong with a limit.
+func (l Limit) check(f *Findings) {
+	if l.Start < 1 {
+		f.Add("limit.start", "must be at least 1, is %d", l.Start)
+	}
+	if l.Max < max(l.Start, 1) {
+		f.Add("limit.max", "must be at least limit.start, is %d", l.Max)
 	}
-	if s.Limit.Max < s.Limit.Start {
-		f.Add("limit.max", "must be at least limit.start")
+	if l.Headroom < 0 || l.Headroom > headroomMax {
+		f.Add("limit.headroom", "must be from 0 to %g, is %g", headroomMax, l.Headroom)
 	}
+}
+
+// checkClasses reports what is wrong with each class and between them.
+func (s *Service) checkClasses(f *Findings) {
 	if len(s.Classes) == 0 {
 		f.Add("classes", "name at least one class")
 	}
-	return f
+	names := map[string]string{}
+	matches := map[Match]string{}
+	for i := range s.Classes {
+		place := fmt.Sprintf("classes[%d]", i)
+		c := &s.Classes[i]
+		c.check(f, place)
+		unique(f, names, c.Name, place+".name")
+		if len(c.Match) == 0 {
+			f.Add(place+".match", "name at least one match")
+		}
+		for j, m := range c.Match {
+			at := fmt.Sprintf("%s.match[%d]", place, j)
+			m.check(f, at)
+			unique(f, matches, m, at)
+		}
+	}
 }
 
-// Check returns everything wrong with the settings.
-func (s *Settings) Check() Findings {
-	var f Findings
-	if s.Name == "" {
-		f.Add("name", "is missing")
+// check reports what is wrong within a class.
+func (c *Class) check(f *Findings, place string) {
+	checkName(f, place+".name", c.Name)
+	switch {
+	case c.Priority && c.Weight != 0:
+		f.Add(place+".weight", "a priority class has no weight")
+	case !c.Priority && c.Weight < 1:
+		f.Add(place+".weight", "must be at least 1 for a routine class, is %d", c.Weight)
 	}
-	if !slices.Contains(s.Zones, s.Zone) {
-		f.Add("zone", "availability zone %q is not listed in zones", s.Zone)
+	if c.Deadline <= 0 {
+		f.Add(place+".deadline", "must be longer than 0s")
 	}
-	return f
 }
 
-// checkAddress reports an address that is no host:port.
-func checkAddress(f *Findings, place, address string) {
-	if _, _, err := net.SplitHostPort(address); err != nil {
-		f.Add(place, "%q: want host:port", address)
+// check reports what is wrong within a match.
+func (m Match) check(f *Findings, place string) {
+	if !strings.HasPrefix(m.Prefix, "/") {
+		f.Add(place+".prefix", "%q: want a path that begins with '/'", m.Prefix)
+	}
+	if m.Method != "" && !methodPattern.MatchString(m.Method) {
+		f.Add(place+".method", "%q: want an HTTP method in capitals", m.Method)
+	}
+}
+
+// checkTimes reports times that don't fit the classes.
+func (s *Service) checkTimes(f *Findings) {
+	if s.Grace < 0 {
+		f.Add("grace", "must not be negative")
+	}
+	if s.Keep < 0 {
+		f.Add("keep", "must not be negative")
+	}
+	for i := range s.Classes {
+		c := &s.Classes[i]
+		if !c.Repeat && s.Keep >= 0 && s.Keep < c.Deadline {
+			f.Add("keep", "%s is shorter than the deadline of class %q, which may not be repeated", s.Keep.D(), c.Name)
+		}
+	}
+}
+
+// checkName reports a name that is missing or has the wrong form.
+func checkName(f *Findings, place, name string) {
+	switch {
+	case name == "":
+		f.Add(place, "is missing")
+	case !namePattern.MatchString(name):
+		f.Add(place, "%q: want 1 to 63 of a-z, 0-9 and '-', with no '-' at the ends", name)
+	}
+}
+
+// checkZone reports a zone that is not listed, unless zones is empty.
+func checkZone(f *Findings, place, zone string, zones []string) {
+	if zone == "" {
+		f.Add(place, "is missing")
+		return
+	}
+	if len(zones) > 0 && !slices.Contains(zones, zone) {
+		f.Add(place, "availability zone %q is not listed; listed are %s", zone, strings.Join(zones, ", "))
+	}
+}
+
+// checkAddress reports an address that is no IP:port with a port from low.
+func checkAddress(f *Findings, place, address string, low uint16) {
+	if address == "" {
+		f.Add(place, "is missing")
+		return
+	}
+	addr, err := netip.ParseAddrPort(address)
+	if err != nil {
+		f.Add(place, "%q: want an IP number and a port, such as 192.0.2.1:4433", address)
+		return
+	}
+	if addr.Port() < low {
+		f.Add(place, "%q: want a port from 1 to 65535", address)
+	}
+}
+
+// checkList calls check on each element and reports those that stand twice.
+func checkList(f *Findings, place string, list []string, check func(place, v string)) {
+	seen := map[string]string{}
+	for i, v := range list {
+		at := fmt.Sprintf("%s[%d]", place, i)
+		check(at, v)
+		unique(f, seen, v, at)
+	}
+}
+
+// unique reports a value that stands at an earlier place already. The zero
+// value is left to other checks.
+func unique[K comparable](f *Findings, seen map[K]string, v K, place string) {
+	var zero K
+	if v == zero {
+		return
+	}
+	if first, ok := seen[v]; ok {
+		f.Add(place, "stands twice: the same as %s", first)
+		return
 	}
+	seen[v] = place
 }
--- a/pkg/crdoc/decode.go
+++ b/pkg/crdoc/decode.go
@@ -2,53 +2,245 @@
 
 import (
 	"bytes"
+	"encoding"
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
+	"reflect"
+	"strconv"
+	"strings"
 )
 
-// decodeStrict reads one JSON value into v and refuses unknown fields and
-// anything after the value.
-func decodeStrict(data []byte, v any) error {
-	dec := json.NewDecoder(bytes.NewReader(data))
-	dec.DisallowUnknownFields()
-	if err := dec.Decode(v); err != nil {
-		return fmt.Errorf("decode: %w", err)
+// binder sets a struct from a document's nodes. It goes on after a finding,
+// so that all findings come at once.
+type binder struct {
+	findings Findings
+	// places maps the path of each value to its offset.
+	places map[string]int
+}
+
+// decodeStrict reads one JSON object into v, a pointer to a struct. It
+// refuses unknown and duplicate fields, wrong types and anything after the
+// value. locate gives findings their line and column.
+func decodeStrict(data []byte, v any) (findings Findings, locate func(Findings)) {
+	b := &binder{places: map[string]int{}}
+	locate = func(f Findings) { b.locate(data, f) }
+	root, err := parseTree(data)
+	var syntax *syntaxError
+	if errors.As(err, &syntax) {
+		b.places[""] = syntax.offset
+		b.findings.Add("", "%s", syntax.text)
+		return b.findings, locate
+	}
+	b.bind("", &root, reflect.ValueOf(v).Elem())
+	return b.findings, locate
+}
+
+// locate sets the line and column of findings by their place, or by the
+// nearest place around it.
+func (b *binder) locate(data []byte, findings Findings) {
+	for i := range findings {
+		place := findings[i].Place
+		offset, ok := b.places[place]
+		for !ok && place != "" {
+			place = parent(place)
+			offset, ok = b.places[place]
+		}
+		before := data[:offset]
+		findings[i].Line = 1 + bytes.Count(before, []byte("\n"))
+		findings[i].Column = offset - bytes.LastIndexByte(before, '\n')
+	}
+}
+
+// bind sets v from a node.
+func (b *binder) bind(place string, n *node, v reflect.Value) {
+	b.places[place] = n.offset
+	if text, ok := v.Addr().Interface().(encoding.TextUnmarshaler); ok {
+		b.bindText(place, n, text)
+		return
+	}
+	null := n.open == 0 && n.token == nil
+	switch v.Kind() {
+	case reflect.Pointer:
+		if !null {
+			v.Set(reflect.New(v.Type().Elem()))
+			b.bind(place, n, v.Elem())
+		}
+	case reflect.Struct:
+		b.bindStruct(place, n, v)
+	case reflect.Slice:
+		if !null {
+			b.bindSlice(place, n, v)
+		}
+	case reflect.Map:
+		if !null {
+			b.bindMap(place, n, v)
+		}
+	default:
+		b.bindScalar(place, n, v)
+	}
+}
+
+// bindText sets a type that reads itself from text.
+func (b *binder) bindText(place string, n *node, v encoding.TextUnmarshaler) {
+	text, ok := n.token.(string)
+	if !ok {
+		b.findings.Add(place, "want a text, found %s", n.kind())
+		return
+	}
+	if err := v.UnmarshalText([]byte(text)); err != nil {
+		b.findings.Add(place, "%v", err)
+	}
+}
+
+// bindStruct sets a struct's fields by their json names.
+func (b *binder) bindStruct(place string, n *node, v reflect.Value) {
+	if n.open != '{' {
+		b.findings.Add(place, "want an object, found %s", n.kind())
+		return
+	}
+	index := fieldIndex(v.Type())
+	seen := map[string]bool{}
+	for i := range n.fields {
+		f := &n.fields[i]
+		at := join(place, f.name)
+		switch number, known := index[f.name]; {
+		case !known:
+			b.places[at] = f.offset
+			b.findings.Add(at, "unknown field")
+		case seen[f.name]:
+			b.places[at] = f.offset
+			b.findings.Add(at, "the field stands twice")
+		default:
+			b.bind(at, &f.value, v.Field(number))
+		}
+		seen[f.name] = true
+	}
+}
+
+// bindSlice sets a list.
+func (b *binder) bindSlice(place string, n *node, v reflect.Value) {
+	if n.open != '[' {
+		b.findings.Add(place, "want a list, found %s", n.kind())
+		return
+	}
+	v.Set(reflect.MakeSlice(v.Type(), len(n.items), len(n.items)))
+	for i := range n.items {
+		b.bind(fmt.Sprintf("%s[%d]", place, i), &n.items[i], v.Index(i))
+	}
+}
+
+// bindMap sets a map whose keys are texts or whole numbers.
+func (b *binder) bindMap(place string, n *node, v reflect.Value) {
+	if n.open != '{' {
+		b.findings.Add(place, "want an object, found %s", n.kind())
+		return
+	}
+	v.Set(reflect.MakeMap(v.Type()))
+	for i := range n.fields {
+		f := &n.fields[i]
+		at := fmt.Sprintf("%s[%q]", place, f.name)
+		key := reflect.New(v.Type().Key()).Elem()
+		value := reflect.New(v.Type().Elem()).Elem()
+		b.bind(at, &f.value, value)
+		if !setKey(key, f.name) {
+			b.findings.Add(at, "the name must be a whole number from 0")
+			continue
+		}
+		if v.MapIndex(key).IsValid() {
+			b.findings.Add(at, "the field stands twice")
+			continue
+		}
+		v.SetMapIndex(key, value)
+	}
+}
+
+// setKey sets a map's key from a field's name.
+func setKey(key reflect.Value, name string) bool {
+	if key.Kind() == reflect.String {
+		key.SetString(name)
+		return true
 	}
-	if _, err := dec.Token(); !errors.Is(err, io.EOF) {
-		return errors.New("decode: data after the document's end")
+	number, err := strconv.ParseUint(name, 10, 64)
+	if err != nil {
+		return false
 	}
-	return nil
+	key.SetUint(number)
+	return true
 }
 
-// ParseService decodes and checks a service document. The error is a
-// Findings. Zones that are not in zones are reported unless zones is empty.
-func ParseService(data []byte, zones []string) (*Service, error) {
-	var s Service
-	var f Findings
-	if err := decodeStrict(data, &s); err != nil {
-		f.Add("", "%v", err)
-		return nil, f
+// bindScalar sets a text, a number or a truth value.
+func (b *binder) bindScalar(place string, n *node, v reflect.Value) {
+	want := "a text"
+	ok := false
+	switch v.Kind() {
+	case reflect.String:
+		var text string
+		if text, ok = n.token.(string); ok {
+			v.SetString(text)
+		}
+	case reflect.Bool:
+		want = "true or false"
+		var truth bool
+		if truth, ok = n.token.(bool); ok {
+			v.SetBool(truth)
+		}
+	default:
+		want = "a number"
+		var number json.Number
+		if number, ok = n.token.(json.Number); ok {
+			b.bindNumber(place, number, v)
+		}
 	}
-	f = append(f, s.Check(zones)...)
-	if err := f.Err(); err != nil {
-		return nil, err
+	if !ok {
+		b.findings.Add(place, "want %s, found %s", want, n.kind())
 	}
-	return &s, nil
 }
 
-// ParseSettings decodes and checks a settings file. The error is a Findings.
-func ParseSettings(data []byte) (*Settings, error) {
-	var s Settings
-	var f Findings
-	if err := decodeStrict(data, &s); err != nil {
-		f.Add("", "%v", err)
-		return nil, f
+// bindNumber sets a number that fits its type.
+func (b *binder) bindNumber(place string, number json.Number, v reflect.Value) {
+	var err error
+	want := "want a number"
+	switch v.Kind() {
+	case reflect.Float64:
+		var f float64
+		f, err = number.Float64()
+		v.SetFloat(f)
+	case reflect.Uint64:
+		want = "want a whole number from 0"
+		var u uint64
+		u, err = strconv.ParseUint(number.String(), 10, 64)
+		v.SetUint(u)
+	default:
+		want = "want a whole number"
+		var i int64
+		i, err = number.Int64()
+		v.SetInt(i)
 	}
-	f = append(f, s.Check()...)
-	if err := f.Err(); err != nil {
-		return nil, err
+	if err != nil {
+		b.findings.Add(place, "%s, found %s", want, number)
 	}
-	return &s, nil
+}
+
+// fieldIndex maps the json names of a struct's fields to their numbers.
+func fieldIndex(t reflect.Type) map[string]int {
+	index := map[string]int{}
+	for i := range t.NumField() {
+		name, _, _ := strings.Cut(t.Field(i).Tag.Get("json"), ",")
+		index[name] = i
+	}
+	return index
+}
+
+// join returns the path of a field.
+func join(place, name string) string {
+	if place == "" {
+		return name
+	}
+	return place + "." + name
+}
+
+// parent returns the path around a place.
+func parent(place string) string {
+	return place[:max(strings.LastIndexAny(place, ".["), 0)]
 }
--- a/pkg/crdoc/doc.go
+++ b/pkg/crdoc/doc.go
@@ -3,4 +3,4 @@
 // its place. The package is pure: it opens no socket and reads no clock.
 package crdoc
 
-//go:generate enumer -type=Protocol,Reply,Format -text -trimprefix=Protocol,Reply,Format -transform=lower -output=enum_gen.go
+//go:generate enumer -type=Protocol,Reply,Format,Role,Kind -text -trimprefix=Protocol,Reply,Format,Role,Kind -transform=lower -output=enum_gen.go
--- a/pkg/crdoc/finding.go
+++ b/pkg/crdoc/finding.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 )
 
@@ -9,6 +10,10 @@
 type Finding struct {
 	// File is the file's path, empty for a document that came by the network.
 	File string `json:"file,omitempty"`
+	// Line and Column, from 1, are where the place stands in the file; 0 when
+	// that is not known. Column counts bytes.
+	Line   int `json:"line,omitempty"`
+	Column int `json:"column,omitempty"`
 	// Place is the path of the field, such as "classes[1].deadline".
 	Place string `json:"place,omitempty"`
 	// Text says what is wrong and what is wanted.
@@ -18,8 +23,12 @@
 // String writes the finding on one line.
 func (f Finding) String() string {
 	parts := make([]string, 0, 3)
-	if f.File != "" {
-		parts = append(parts, f.File)
+	at := f.File
+	if f.Line > 0 {
+		at = strings.TrimPrefix(fmt.Sprintf("%s:%d:%d", f.File, f.Line, f.Column), ":")
+	}
+	if at != "" {
+		parts = append(parts, at)
 	}
 	if f.Place != "" {
 		parts = append(parts, f.Place)
@@ -45,6 +54,19 @@
 	return out
 }
 
+// Sort orders findings by file and by where they stand in it.
+func (f Findings) Sort() {
+	slices.SortStableFunc(f, func(a, b Finding) int {
+		if n := strings.Compare(a.File, b.File); n != 0 {
+			return n
+		}
+		if a.Line != b.Line {
+			return a.Line - b.Line
+		}
+		return a.Column - b.Column
+	})
+}
+
 // Error lists all findings, one a line.
 func (f Findings) Error() string {
 	lines := make([]string, len(f))
--- /dev/null
+++ b/pkg/crdoc/kind.go
@@ -0,0 +1,45 @@
+package crdoc
+
+import (
+	"reflect"
+)
+
+// Kind is the kind of a document.
+type Kind int
+
+const (
+	// KindUnknown is neither.
+	KindUnknown Kind = iota
+	// KindService is a service document.
+	KindService
+	// KindSettings is the settings file of a process.
+	KindSettings
+)
+
+// KindOf tells the kind of a document by its field names: the kind that has
+// more of them.
+func KindOf(data []byte) Kind {
+	root, err := parseTree(data)
+	if err != nil {
+		return KindUnknown
+	}
+	service := fieldIndex(reflect.TypeFor[Service]())
+	settings := fieldIndex(reflect.TypeFor[Settings]())
+	score := 0
+	for i := range root.fields {
+		if _, ok := service[root.fields[i].name]; ok {
+			score++
+		}
+		if _, ok := settings[root.fields[i].name]; ok {
+			score--
+		}
+	}
+	switch {
+	case score > 0:
+		return KindService
+	case score < 0:
+		return KindSettings
+	default:
+		return KindUnknown
+	}
+}
