Add check: every finding of many files, exit code 2, nothing started

check takes files and directories, tells service documents from settings by their fields, takes the zones from the settings files and looks for names, addresses and hosts that two documents claim. Roles refuse to start with the same findings. The script compares whole outputs with golden files; it failed first because a document that breaks off was told as neither kind.

--- a/cmd/cardamomring/args.go
+++ b/cmd/cardamomring/args.go
@@ -9,6 +9,8 @@
 	"syscall"
 
 	"github.com/alexflint/go-arg"
+
+	"cardamomring.dev/pkg/crdoc"
 )
 
 // Exit codes.
@@ -32,6 +34,7 @@
 	Agent    *roleArgs    `arg:"subcommand:agent" help:"run the agent of a backend server"`
 	Control  *roleArgs    `arg:"subcommand:control" help:"run a control instance"`
 	Backend  *backendArgs `arg:"subcommand:backend" help:"run a fake backend server for trials"`
+	Check    *checkArgs   `arg:"subcommand:check" help:"check service documents and settings files, and start nothing"`
 	Version  *versionArgs `arg:"subcommand:version" help:"print the version"`
 }
 
@@ -70,13 +73,15 @@
 func (a *args) dispatch(ctx context.Context, out, errOut io.Writer) int {
 	switch {
 	case a.Balancer != nil:
-		return runRole(ctx, roleBalancer, a.Balancer.Config, errOut)
+		return runRole(ctx, crdoc.RoleBalancer, a.Balancer.Config, errOut)
 	case a.Agent != nil:
-		return runRole(ctx, roleAgent, a.Agent.Config, errOut)
+		return runRole(ctx, crdoc.RoleAgent, a.Agent.Config, errOut)
 	case a.Control != nil:
-		return runRole(ctx, roleControl, a.Control.Config, errOut)
+		return runRole(ctx, crdoc.RoleControl, a.Control.Config, errOut)
 	case a.Backend != nil:
 		return runBackend(ctx, a.Backend, errOut)
+	case a.Check != nil:
+		return runCheck(a.Check, out, errOut)
 	default:
 		fmt.Fprintf(out, "cardamomring %s\n", version)
 		return exitOK
--- /dev/null
+++ b/cmd/cardamomring/check.go
@@ -0,0 +1,151 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"io/fs"
+	"os"
+	"path/filepath"
+
+	"cardamomring.dev/pkg/crdoc"
+)
+
+// checkArgs are the arguments of check.
+type checkArgs struct {
+	Files []string   `arg:"positional,required" placeholder:"FILE" help:"files, or directories whose *.json files are checked"`
+	Kind  crdoc.Kind `arg:"-k,--kind" placeholder:"KIND" help:"service or settings; told by each file's fields when absent"`
+	Zones []string   `arg:"-z,--zones" placeholder:"ZONE" help:"all availability zones; taken from the settings files when absent"`
+}
+
+// checker checks a set of files together.
+type checker struct {
+	args     *checkArgs
+	findings crdoc.Findings
+	services map[string]*crdoc.Service
+	settings map[string]string
+}
+
+// runCheck checks files and starts nothing.
+func runCheck(a *checkArgs, out, errOut io.Writer) int {
+	files, err := listFiles(a.Files)
+	if err != nil {
+		fmt.Fprintln(errOut, err)
+		return exitUsage
+	}
+	c := &checker{args: a, services: map[string]*crdoc.Service{}, settings: map[string]string{}}
+	c.checkAll(files)
+	if err := c.findings.Err(); err != nil {
+		fmt.Fprintln(errOut, err)
+		return exitUsage
+	}
+	fmt.Fprintf(out, "%d files, no findings\n", len(files))
+	return exitOK
+}
+
+// listFiles returns the files, and the *.json files within directories.
+func listFiles(paths []string) ([]string, error) {
+	var files []string
+	for _, path := range paths {
+		err := filepath.WalkDir(path, func(file string, entry fs.DirEntry, err error) error {
+			if err != nil {
+				return err
+			}
+			if !entry.IsDir() && (file == path || filepath.Ext(file) == ".json") {
+				files = append(files, file)
+			}
+			return nil
+		})
+		if err != nil {
+			return nil, fmt.Errorf("check: %w", err)
+		}
+	}
+	if len(files) == 0 {
+		return nil, errors.New("check: no *.json file found")
+	}
+	return files, nil
+}
+
+// checkAll checks settings files first, because they list the zones.
+func (c *checker) checkAll(files []string) {
+	services := map[string][]byte{}
+	var order []string
+	for _, file := range files {
+		data, err := os.ReadFile(file)
+		if err != nil {
+			c.add(file, crdoc.Finding{Text: err.Error()})
+			continue
+		}
+		switch c.kind(data) {
+		case crdoc.KindService:
+			services[file] = data
+			order = append(order, file)
+		case crdoc.KindSettings:
+			c.checkSettings(file, data)
+		default:
+			c.add(file, crdoc.Finding{Text: "neither a service document nor a settings file; name the kind with --kind"})
+		}
+	}
+	for _, file := range order {
+		c.checkService(file, services[file])
+	}
+}
+
+// kind returns the kind of a file.
+func (c *checker) kind(data []byte) crdoc.Kind {
+	if c.args.Kind != crdoc.KindUnknown {
+		return c.args.Kind
+	}
+	return crdoc.KindOf(data)
+}
+
+// checkSettings checks a settings file.
+func (c *checker) checkSettings(file string, data []byte) {
+	s, err := crdoc.ParseSettings(data, os.ReadFile)
+	if err != nil {
+		c.addErr(file, err)
+		return
+	}
+	if first, ok := c.settings[s.Name]; ok {
+		c.add(file, crdoc.Finding{Place: "name", Text: fmt.Sprintf("%q is also the name in %s", s.Name, first)})
+	}
+	c.settings[s.Name] = file
+	if len(c.args.Zones) == 0 {
+		c.args.Zones = s.Zones
+	}
+}
+
+// checkService checks a service document, also against those before it.
+func (c *checker) checkService(file string, data []byte) {
+	s, err := crdoc.ParseService(data, c.args.Zones)
+	if err != nil {
+		c.addErr(file, err)
+		return
+	}
+	if _, ok := c.services[s.Name]; ok {
+		c.add(file, crdoc.Finding{Place: "name", Text: fmt.Sprintf("service %q has another document", s.Name)})
+	}
+	others := make([]*crdoc.Service, 0, len(c.services))
+	for _, other := range c.services {
+		others = append(others, other)
+	}
+	for _, f := range s.CheckAgainst(others) {
+		c.add(file, f)
+	}
+	c.services[s.Name] = s
+}
+
+// add records a finding in a file.
+func (c *checker) add(file string, f crdoc.Finding) {
+	f.File = file
+	c.findings = append(c.findings, f)
+}
+
+// addErr records what parsing a file found.
+func (c *checker) addErr(file string, err error) {
+	var findings crdoc.Findings
+	if !errors.As(err, &findings) {
+		findings.Add("", "%v", err)
+	}
+	c.findings = append(c.findings, findings.In(file)...)
+}
--- a/cmd/cardamomring/role.go
+++ b/cmd/cardamomring/role.go
@@ -16,18 +16,9 @@
 	"cardamomring.dev/pkg/crdoc"
 )
 
-// role is a long-running role.
-type role int
-
-const (
-	roleBalancer role = iota
-	roleAgent
-	roleControl
-)
-
 // runRole runs a role from its settings file until ctx ends.
-func runRole(ctx context.Context, kind role, file string, errOut io.Writer) int {
-	settings, err := loadSettings(file)
+func runRole(ctx context.Context, role crdoc.Role, file string, errOut io.Writer) int {
+	settings, err := loadSettings(role, file)
 	if err != nil {
 		fmt.Fprintln(errOut, err)
 		return exitUsage
@@ -39,12 +30,12 @@
 	}
 	ready := func(addr string) { logger.Infof("%s listens on %s", settings.Name, addr) }
 	registry := prometheus.NewRegistry()
-	switch kind {
-	case roleBalancer:
+	switch role {
+	case crdoc.RoleBalancer:
 		err = (&crbalancer.Balancer{Settings: settings, Ready: ready, Registry: registry, Logf: logger.Warnf}).Run(ctx)
-	case roleAgent:
+	case crdoc.RoleAgent:
 		err = (&cragent.Agent{Settings: settings, Ready: ready, Registry: registry, Logf: logger.Warnf}).Run(ctx)
-	case roleControl:
+	case crdoc.RoleControl:
 		err = (&crcontrol.Control{Settings: settings, Ready: ready, Registry: registry, Logf: logger.Infof}).Run(ctx)
 	}
 	if err != nil {
@@ -55,8 +46,8 @@
 	return exitOK
 }
 
-// loadSettings reads and checks a settings file.
-func loadSettings(file string) (*crdoc.Settings, error) {
+// loadSettings reads a settings file and checks it for a role.
+func loadSettings(role crdoc.Role, file string) (*crdoc.Settings, error) {
 	data, err := os.ReadFile(file)
 	if err != nil {
 		return nil, fmt.Errorf("read settings: %w", err)
@@ -66,5 +57,8 @@
 	if errors.As(err, &findings) {
 		return nil, findings.In(file)
 	}
-	return settings, err
+	if err != nil {
+		return nil, err
+	}
+	return settings, settings.CheckRole(role).In(file).Err()
 }
--- a/cmd/cardamomring/script_http_test.go
+++ b/cmd/cardamomring/script_http_test.go
@@ -1,9 +1,11 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
+	"os/exec"
 	"regexp"
 	"strconv"
 	"strings"
@@ -207,6 +209,26 @@
 	t.notes = append(t.notes, fmt.Sprintf(format, args...))
 }
 
+// expectStatus runs a program to its end and checks its exit code.
+func expectStatus(ts *testscript.TestScript, neg bool, args []string) {
+	if neg || len(args) < 2 {
+		ts.Fatalf("usage: expect-status N PROGRAM ARG...")
+	}
+	want, err := strconv.Atoi(args[0])
+	ts.Check(err)
+	err = ts.Exec(args[1], args[2:]...)
+	got := 0
+	var exit *exec.ExitError
+	if errors.As(err, &exit) {
+		got = exit.ExitCode()
+	} else {
+		ts.Check(err)
+	}
+	if got != want {
+		ts.Fatalf("exit code %d, want %d", got, want)
+	}
+}
+
 // terminate sends SIGTERM to the background commands that have an argument.
 func terminate(ts *testscript.TestScript, neg bool, args []string) {
 	if neg || len(args) != 1 {
--- a/cmd/cardamomring/script_test.go
+++ b/cmd/cardamomring/script_test.go
@@ -21,6 +21,8 @@
 //	http METHOD URL [FILE]    sends one request, prints status and body
 //	load PREFIX N URL...      sends N requests, each with its own body
 //	start-load, wait-load     the same, while the script goes on
+//	expect-status N PROGRAM ARG...
+//	                          runs a program that must exit with this code
 //	term WORD                 sends SIGTERM to the background commands with this argument
 //	sum PATTERN WANT FILE...  adds up the first group of the matches
 func TestScripts(t *testing.T) {
@@ -31,13 +33,14 @@
 		UpdateScripts:       os.Getenv("UPDATE_SCRIPTS") != "",
 		Setup:               setUpScript,
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
-			"wait-http":  waitHTTP,
-			"http":       sendHTTP,
-			"load":       load,
-			"start-load": startLoad,
-			"wait-load":  waitLoad,
-			"term":       terminate,
-			"sum":        sum,
+			"wait-http":     waitHTTP,
+			"http":          sendHTTP,
+			"load":          load,
+			"start-load":    startLoad,
+			"wait-load":     waitLoad,
+			"expect-status": expectStatus,
+			"term":          terminate,
+			"sum":           sum,
 		},
 	})
 }
--- a/pkg/crdoc/kind.go
+++ b/pkg/crdoc/kind.go
@@ -17,12 +17,9 @@
 )
 
 // KindOf tells the kind of a document by its field names: the kind that has
-// more of them.
+// more of them. A document that breaks off is told by what stands before.
 func KindOf(data []byte) Kind {
-	root, err := parseTree(data)
-	if err != nil {
-		return KindUnknown
-	}
+	root, _ := parseTree(data)
 	service := fieldIndex(reflect.TypeFor[Service]())
 	settings := fieldIndex(reflect.TypeFor[Settings]())
 	score := 0
--- a/pkg/crdoc/tree.go
+++ b/pkg/crdoc/tree.go
@@ -47,17 +47,18 @@
 	dec  *json.Decoder
 }
 
-// parseTree reads exactly one JSON value; its errors are *syntaxError.
+// parseTree reads exactly one JSON value; its errors are *syntaxError. On an
+// error the node holds what was read until then.
 func parseTree(data []byte) (node, error) {
 	p := &treeParser{data: data, dec: json.NewDecoder(bytes.NewReader(data))}
 	p.dec.UseNumber()
 	root, err := p.value(0)
 	if err != nil {
-		return node{}, err
+		return root, err
 	}
 	end := p.next()
 	if _, err := p.dec.Token(); !errors.Is(err, io.EOF) {
-		return node{}, &syntaxError{offset: end, text: "data after the document's end"}
+		return root, &syntaxError{offset: end, text: "data after the document's end"}
 	}
 	return root, nil
 }
