State machine: changes, members and claims whole; control on the replica

Aim: everything that control decides is an entry of the replicated log, so that it survives the loss of instances once the log is replicated.

Weighed: checking documents inside the state machine against the zones of the settings was ruled out, because settings of two instances may differ while they are rolled out and the states would part; the leader checks and puts its findings into the entry, the state machine checks only what it holds itself (addresses and host names of other services). Claims bounded by number were ruled out, because an answer may take 4 KiB: the bound is room in bytes for each service, and a claim reserves the room of its outcome, so that a settle always fits. A key that was given back keeps its last attempt for two minutes, so that a delayed claim of that attempt can't take it again.

Leases run in the leader's memory and are granted in full after an election, after lost contact and after a standstill of the process. Settings' zones check documents; metrics for changes, claims, feed answers, renewals, leases.

--- /dev/null
+++ b/internal/crcontrol/change.go
@@ -0,0 +1,124 @@
+package crcontrol
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+
+	"cardamomring.dev/internal/crnet"
+	"cardamomring.dev/internal/crreplica"
+	"cardamomring.dev/internal/crstate"
+	"cardamomring.dev/internal/crwire"
+	"cardamomring.dev/pkg/crdoc"
+)
+
+// headerForwarded marks a change that an instance handed to the leader.
+const headerForwarded = "Cr-Forwarded"
+
+// statuses are the HTTP statuses of the codes.
+var statuses = map[crwire.Code]int{
+	crwire.CodeOK:          http.StatusOK,
+	crwire.CodeConflict:    http.StatusConflict,
+	crwire.CodeInvalid:     http.StatusUnprocessableEntity,
+	crwire.CodeUnavailable: http.StatusServiceUnavailable,
+	crwire.CodeDenied:      http.StatusForbidden,
+}
+
+// serveChange carries out an operator's change here or at the leader.
+func (c *Control) serveChange(w http.ResponseWriter, r *http.Request) {
+	var change crwire.Change
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, bodyMax))
+	if err == nil {
+		err = json.Unmarshal(body, &change)
+	}
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	author, err := c.author(r)
+	if err != nil {
+		c.writeResult(w, crwire.Result{Code: crwire.CodeDenied, Text: err.Error()})
+		return
+	}
+	change.Author = author
+	status := c.replica.Status()
+	switch {
+	case status.Leading:
+		c.writeResult(w, c.change(r.Context(), &change))
+	case status.Address == "" || r.Header.Get(headerForwarded) != "":
+		c.writeResult(w, unavailable(&crreplica.NotLeaderError{Leader: status.Address}, status.Address))
+	default:
+		c.forwardChange(w, r, status.Address, author, body)
+	}
+}
+
+// change commits a change as the leader.
+func (c *Control) change(ctx context.Context, change *crwire.Change) crwire.Result {
+	e := crstate.Entry{Kind: change.Kind, Change: change, Findings: c.check(change)}
+	reply, err := c.commit(ctx, e)
+	if err != nil {
+		return unavailable(err, c.replica.Status().Address)
+	}
+	return reply.Result
+}
+
+// check returns what is wrong with a change by this system's settings.
+func (c *Control) check(change *crwire.Change) crdoc.Findings {
+	var f crdoc.Findings
+	zones := c.Settings.Zones
+	switch change.Kind {
+	case crwire.KindApply:
+		if change.Service == nil {
+			f.Add("service", "is missing")
+			return f
+		}
+		return change.Service.Check(zones)
+	case crwire.KindZoneOut, crwire.KindZoneIn:
+		if len(zones) > 0 && !slices.Contains(zones, change.Zone) {
+			f.Add("zone", "availability zone %q is not listed", change.Zone)
+		}
+	default:
+		f.Add("kind", "%s is no operator's change", change.Kind)
+	}
+	return f
+}
+
+// forwardChange hands a change to the leader and returns its answer.
+func (c *Control) forwardChange(w http.ResponseWriter, r *http.Request, leader, author string, body []byte) {
+	ctx, cancel := context.WithTimeout(r.Context(), forwardTimeout)
+	defer cancel()
+	out, err := http.NewRequestWithContext(ctx, http.MethodPost, c.client.URL(leader, "/change"), bytes.NewReader(body))
+	if err != nil {
+		c.writeResult(w, unavailable(err, leader))
+		return
+	}
+	out.Header.Set("Content-Type", "application/json")
+	out.Header.Set(headerForwarded, author)
+	out.Header.Set(headerAuthorization, r.Header.Get(headerAuthorization))
+	resp, err := c.client.Do(out)
+	if err != nil {
+		c.writeResult(w, unavailable(err, leader))
+		return
+	}
+	defer resp.Body.Close()
+	var result crwire.Result
+	if err := json.NewDecoder(io.LimitReader(resp.Body, bodyMax)).Decode(&result); err != nil {
+		result = unavailable(fmt.Errorf("answer of the leader: %w", err), leader)
+	}
+	c.writeResult(w, result)
+}
+
+// writeResult answers a change.
+func (c *Control) writeResult(w http.ResponseWriter, result crwire.Result) {
+	c.metrics.changes.WithLabelValues(result.Code.String()).Inc()
+	crnet.WriteJSON(w, statuses[result.Code], result)
+}
+
+// unavailable answers a change that may or may not be committed.
+func unavailable(err error, leader string) crwire.Result {
+	return crwire.Result{Code: crwire.CodeUnavailable, Leader: leader, Text: err.Error()}
+}
--- a/internal/crcontrol/control.go
+++ b/internal/crcontrol/control.go
@@ -1,16 +1,19 @@
 // Package crcontrol is the control role: it serves operators, agents and the
-// feed from the replicated state. One goroutine owns the state.
+// feed from the replicated state. The replica's goroutine owns the state.
 package crcontrol
 
 import (
 	"context"
+	"errors"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 
 	"cardamomring.dev/internal/crfeed"
 	"cardamomring.dev/internal/crnet"
+	"cardamomring.dev/internal/crreplica"
 	"cardamomring.dev/internal/crstate"
 	"cardamomring.dev/internal/crwire"
 	"cardamomring.dev/pkg/crdoc"
@@ -21,8 +24,12 @@
 	leaseDefault = 3 * time.Second
 	// leaseTick is how often leases are looked at.
 	leaseTick = 250 * time.Millisecond
+	// commitTimeout bounds the wait for a quorum.
+	commitTimeout = 2 * time.Second
+	// forwardTimeout bounds a call that is handed to the leader.
+	forwardTimeout = 3 * time.Second
 	// bodyMax bounds the body of a call, in bytes.
-	bodyMax = 1 << 20
+	bodyMax = 8 << 20
 	// stopGrace bounds a graceful stop.
 	stopGrace = 5 * time.Second
 )
@@ -38,106 +45,135 @@
 	// Logf writes a log line for a change of state.
 	Logf func(format string, args ...any)
 
+	replica *crreplica.Replica
+	client  *crnet.Client
+	source  *crfeed.Source
+	metrics *metrics
+	// state and leases are touched in the replica's goroutine only.
 	state  *crstate.State
-	source *crfeed.Source
-	leases map[string]lease
-	calls  chan func()
-	// life ends when the instance begins to stop.
-	life context.Context
-}
+	leases *leases
+	status crreplica.Status
+
+	announces *batcher[crwire.Member, crwire.Announced]
+	claims    *batcher[crwire.Claim, crwire.Claimed]
+	settles   *batcher[crwire.Settle, settled]
 
-// lease is an agent's right to be a member.
-type lease struct {
-	member crwire.Member
-	until  time.Time
+	// life ends when the instance begins to stop.
+	life  context.Context
+	loops sync.WaitGroup
+	// failed takes the replica's error.
+	failed chan error
 }
 
-// Run serves until ctx ends, then stops gracefully.
+// Run serves until ctx ends, then stops gracefully. It returns early when
+// the replica's disk fails.
 func (c *Control) Run(ctx context.Context) error {
-	c.state = crstate.New()
-	c.source = crfeed.NewSource(crfeed.Empty())
-	c.leases = map[string]lease{}
-	c.calls = make(chan func())
-	c.life = ctx
+	life, cancel := context.WithCancel(ctx)
+	defer cancel()
+	c.life = life
+	c.open()
+	defer c.client.Close()
+	if err := c.replica.Open(life); err != nil {
+		return err
+	}
 	server := &crnet.Server{Addr: c.Settings.Replica.Listen, Handler: c.routes()}
 	if err := server.Start(); err != nil {
 		return err
 	}
-	done := make(chan struct{})
-	go c.loop(done)
+	c.start()
 	c.Ready(server.Bound())
-	<-ctx.Done()
-	stopCtx, cancel := context.WithTimeout(context.Background(), stopGrace)
-	defer cancel()
+	var failure error
+	select {
+	case <-ctx.Done():
+	case failure = <-c.failed:
+	}
+	cancel()
+	stopCtx, stop := context.WithTimeout(context.Background(), stopGrace)
+	defer stop()
 	err := server.Stop(stopCtx)
-	<-done
-	return err
+	c.loops.Wait()
+	return errors.Join(failure, err)
 }
 
-// routes returns the instance's HTTP calls.
-func (c *Control) routes() http.Handler {
-	mux := http.NewServeMux()
-	mux.HandleFunc("GET /feed", c.serveFeed)
-	mux.HandleFunc("POST /announce", c.serveAnnounce)
-	mux.HandleFunc("POST /change", c.serveChange)
-	mux.HandleFunc("GET /audit", c.serveAudit)
-	mux.HandleFunc("GET /view", c.serveView)
-	return mux
+// open makes the instance's parts.
+func (c *Control) open() {
+	c.state = crstate.New()
+	c.source = crfeed.NewSource(crfeed.Empty())
+	c.metrics = newMetrics(c.Registry)
+	c.leases = newLeases(c.leaseTime())
+	c.client = &crnet.Client{}
+	c.client.Open()
+	c.failed = make(chan error, 1)
+	c.announces = newBatcher(c.commitMembers)
+	c.claims = newBatcher(c.commitClaims)
+	c.settles = newBatcher(c.commitSettles)
+	c.replica = &crreplica.Replica{
+		Settings: c.Settings.Replica, Client: c.client,
+		Apply: c.apply, Snapshot: c.snapshot, Restore: c.restore, Changed: c.changed,
+	}
+}
+
+// start runs the instance's loops until its life ends.
+func (c *Control) start() {
+	c.loops.Go(c.run)
+	c.loops.Go(c.loop)
+	c.loops.Go(func() { c.announces.loop(c.life) })
+	c.loops.Go(func() { c.claims.loop(c.life) })
+	c.loops.Go(func() { c.settles.loop(c.life) })
 }
 
-// loop owns the state: it runs calls one at a time and ends leases.
-func (c *Control) loop(done chan<- struct{}) {
-	defer close(done)
+// run takes part in the replicated log.
+func (c *Control) run() {
+	if err := c.replica.Run(); err != nil {
+		c.failed <- err
+	}
+}
+
+// loop ends leases until the instance stops.
+func (c *Control) loop() {
 	tick := time.NewTicker(leaseTick)
 	defer tick.Stop()
 	for {
 		select {
-		case f := <-c.calls:
-			f()
-		case now := <-tick.C:
-			c.expire(now)
+		case <-tick.C:
+			c.expire()
 		case <-c.life.Done():
 			return
 		}
 	}
 }
 
-// do runs f in the loop and waits for it; false when the instance stops.
-func (c *Control) do(f func()) bool {
-	done := make(chan struct{})
-	select {
-	case c.calls <- func() { f(); close(done) }:
-		<-done
-		return true
-	case <-c.life.Done():
-		return false
-	}
+// routes returns the instance's HTTP calls.
+func (c *Control) routes() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /feed", c.serveFeed)
+	mux.HandleFunc("GET /view", c.serveView)
+	mux.HandleFunc("GET /audit", c.serveAudit)
+	mux.HandleFunc("POST /change", c.serveChange)
+	mux.HandleFunc("POST /announce", c.serveAnnounce)
+	mux.HandleFunc("POST /claim", c.serveClaim)
+	mux.HandleFunc("POST /settle", c.serveSettle)
+	mux.HandleFunc("POST "+pathAnnounces, c.serveAnnounces)
+	mux.HandleFunc("POST "+pathClaims, c.serveClaims)
+	mux.HandleFunc("POST "+pathSettles, c.serveSettles)
+	mux.Handle("/quorum/", c.replica.Routes())
+	return mux
 }
 
-// commit applies an entry; it runs in the loop.
-func (c *Control) commit(e crstate.Entry) crstate.Reply {
-	e.Time = time.Now()
-	reply := c.state.Apply(e)
-	if reply.Delta != nil {
-		if err := c.source.Add(reply.Delta); err != nil {
-			c.source.Reset(c.state.View())
-		}
+// leaseTime returns how long a silent agent stays a member.
+func (c *Control) leaseTime() time.Duration {
+	if d := c.Settings.Replica.Lease.D(); d > 0 {
+		return d
 	}
-	return reply
+	return leaseDefault
 }
 
-// expire removes agents whose lease has ended.
-func (c *Control) expire(now time.Time) {
-	var gone []crwire.Member
-	for name, l := range c.leases {
-		if now.After(l.until) {
-			delete(c.leases, name)
-			l.member.State = crwire.MemberGone
-			gone = append(gone, l.member)
-			c.Logf("agent %s has not renewed its lease", name)
-		}
-	}
-	if len(gone) > 0 {
-		c.commit(crstate.Entry{Kind: crwire.KindMembers, Members: gone})
+// untilStop returns the request's context, ended also by the instance's stop.
+func (c *Control) untilStop(r *http.Request) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(r.Context())
+	unregister := context.AfterFunc(c.life, cancel)
+	return ctx, func() {
+		unregister()
+		cancel()
 	}
 }
--- /dev/null
+++ b/internal/crcontrol/control_test.go
@@ -0,0 +1,145 @@
+package crcontrol_test
+
+import (
+	"context"
+	"net/http"
+	"path/filepath"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/goleak"
+
+	"cardamomring.dev/internal/crcontrol"
+	"cardamomring.dev/internal/crnet"
+	"cardamomring.dev/internal/crwire"
+	"cardamomring.dev/pkg/crdoc"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// instance is a control instance under test.
+type instance struct {
+	client *crnet.Client
+	addr   string
+}
+
+// startControl runs one instance that is a quorum by itself.
+func startControl(tb testing.TB, set crdoc.Replica) *instance {
+	tb.Helper()
+	set.ID, set.Listen = 1, "127.0.0.1:0"
+	set.Data = filepath.Join(tb.TempDir(), "data")
+	set.Members = map[uint64]string{1: ""}
+	ready := make(chan string, 1)
+	control := &crcontrol.Control{
+		Settings: &crdoc.Settings{Name: "control-1", Zone: "z1", Zones: []string{"z1", "z2"}, Replica: &set},
+		Ready:    func(addr string) { ready <- addr }, Registry: prometheus.NewRegistry(), Logf: func(string, ...any) {},
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	var done sync.WaitGroup
+	done.Go(func() {
+		if err := control.Run(ctx); err != nil {
+			tb.Error(err)
+		}
+	})
+	in := &instance{client: &crnet.Client{}, addr: <-ready}
+	in.client.Open()
+	tb.Cleanup(func() {
+		in.client.Close()
+		cancel()
+		done.Wait()
+		http.DefaultClient.CloseIdleConnections()
+	})
+	return in
+}
+
+// call makes one JSON call.
+func (in *instance) call(tb testing.TB, path string, body, out any) error {
+	tb.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	return in.client.JSON(ctx, in.addr, path, body, out)
+}
+
+// must makes a call that has to succeed.
+func (in *instance) must(tb testing.TB, path string, body, out any) {
+	tb.Helper()
+	if err := in.call(tb, path, body, out); err != nil {
+		tb.Fatal(err)
+	}
+}
+
+// document returns a service document without findings.
+func document(name, address string, version uint64) *crdoc.Service {
+	return &crdoc.Service{
+		Name: name, Customer: "c", Version: version, Address: address, Zones: []string{"z1"},
+		Limit: crdoc.Limit{Start: 1, Max: 4, Headroom: 0.2}, Keep: crdoc.Duration(time.Hour),
+		Grace: crdoc.Duration(time.Second),
+		Classes: []crdoc.Class{{
+			Name: "all", Weight: 1, Repeat: true, Deadline: crdoc.Duration(time.Second),
+			Match: []crdoc.Match{{Prefix: "/"}},
+		}},
+	}
+}
+
+func TestChangesAnnouncementsAndClaims(t *testing.T) {
+	in := startControl(t, crdoc.Replica{})
+	var result crwire.Result
+	change := crwire.Change{ID: "1", Author: "forged", Service: document("s", "127.0.0.1:9000", 0)}
+	in.must(t, "/change", change, &result)
+	if diff := cmp.Diff(crwire.Result{Revision: 1, Version: 1}, result); diff != "" {
+		t.Errorf("result (-want +got):\n%s", diff)
+	}
+	var announced crwire.Announced
+	in.must(t, "/announce", crwire.Announce{Member: crwire.Member{Name: "a", Service: "s", Zone: "z1"}}, &announced)
+	if diff := cmp.Diff(crwire.Announced{Num: 1, Lease: 3000, Revision: 2}, announced); diff != "" {
+		t.Errorf("announced (-want +got):\n%s", diff)
+	}
+	var claimed crwire.Claimed
+	claim := crwire.Claim{Service: "s", Key: "k", Digest: "d", Attempt: "one"}
+	in.must(t, "/claim", claim, &claimed)
+	record := crwire.Record{Outcome: crwire.OutcomeDone, Status: 201, Body: []byte("ok")}
+	in.must(t, "/settle", crwire.Settle{Service: "s", Key: "k", Attempt: "one", Record: record}, &struct{}{})
+	claim.Attempt = "two"
+	var again crwire.Claimed
+	in.must(t, "/claim", claim, &again)
+	got := []crwire.Claimed{claimed, again}
+	want := []crwire.Claimed{{Verdict: crwire.VerdictGranted}, {Verdict: crwire.VerdictRecorded, Record: &record}}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("claims (-want +got):\n%s", diff)
+	}
+	var lines []crwire.Audit
+	in.must(t, "/audit", nil, &lines)
+	if len(lines) != 1 || lines[0].Author != "anonymous (unverified)" {
+		t.Errorf("audit trail: %+v", lines)
+	}
+}
+
+func TestConcurrentClaimsOfOneKeyGrantOne(t *testing.T) {
+	in := startControl(t, crdoc.Replica{})
+	in.must(t, "/change", crwire.Change{ID: "1", Service: document("s", "127.0.0.1:9000", 0)}, &crwire.Result{})
+	const attempts = 50
+	verdicts := make([]crwire.Verdict, attempts)
+	var calls sync.WaitGroup
+	for i := range attempts {
+		calls.Go(func() {
+			var claimed crwire.Claimed
+			claim := crwire.Claim{Service: "s", Key: "k", Digest: "d", Attempt: string(rune('A' + i))}
+			if err := in.call(t, "/claim", claim, &claimed); err != nil {
+				t.Error(err)
+			}
+			verdicts[i] = claimed.Verdict
+		})
+	}
+	calls.Wait()
+	counts := map[crwire.Verdict]int{}
+	for _, v := range verdicts {
+		counts[v]++
+	}
+	want := map[crwire.Verdict]int{crwire.VerdictGranted: 1, crwire.VerdictHeld: attempts - 1}
+	if diff := cmp.Diff(want, counts); diff != "" {
+		t.Errorf("verdicts (-want +got):\n%s", diff)
+	}
+}
--- /dev/null
+++ b/internal/crcontrol/metrics.go
@@ -0,0 +1,90 @@
+package crcontrol
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+
+	"cardamomring.dev/internal/crreplica"
+	"cardamomring.dev/internal/crwire"
+)
+
+// metrics are the role's counters.
+type metrics struct {
+	changes  *prometheus.CounterVec
+	claims   *prometheus.CounterVec
+	feeds    *prometheus.CounterVec
+	renewals prometheus.Counter
+	expired  prometheus.Counter
+	skipped  prometheus.Counter
+	agents   prometheus.Gauge
+	leading  prometheus.Gauge
+	fresh    prometheus.Gauge
+	term     prometheus.Gauge
+}
+
+// newMetrics registers the metrics.
+func newMetrics(r *prometheus.Registry) *metrics {
+	m := &metrics{
+		changes:  counters("changes_total", "Operators' changes by answer.", "code"),
+		claims:   counters("claims_total", "Claims of keyed requests by verdict.", "verdict"),
+		feeds:    counters("feed_answers_total", "Answers of the feed by kind.", "kind"),
+		renewals: counter("renewals_total", "Announcements of agents that the leader took."),
+		expired:  counter("leases_expired_total", "Agents that did not renew their lease."),
+		skipped:  counter("entries_skipped_total", "Entries of the log that could not be read."),
+		agents:   gauge("agents", "Agents that hold a lease."),
+		leading:  gauge("leading", "1 while this instance leads."),
+		fresh:    gauge("fresh", "1 while this instance has contact with the quorum."),
+		term:     gauge("term", "The current term."),
+	}
+	r.MustRegister(m.changes, m.claims, m.feeds, m.renewals, m.expired, m.skipped,
+		m.agents, m.leading, m.fresh, m.term)
+	return m
+}
+
+// setStatus shows the instance's place in the quorum.
+func (m *metrics) setStatus(s crreplica.Status) {
+	m.leading.Set(number(s.Leading))
+	m.fresh.Set(number(s.Fresh))
+	m.term.Set(float64(s.Term))
+}
+
+// countFeed counts an answer of the feed.
+func (m *metrics) countFeed(f *crwire.Feed) {
+	kind := "empty"
+	switch {
+	case f.Stale:
+		kind = "stale"
+	case f.Snapshot != nil:
+		kind = "snapshot"
+	case len(f.Deltas) > 0:
+		kind = "deltas"
+	}
+	m.feeds.WithLabelValues(kind).Inc()
+}
+
+// number returns 1 for true.
+func number(b bool) float64 {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+// counters returns a counter with one label.
+func counters(name, help, label string) *prometheus.CounterVec {
+	opts := prometheus.CounterOpts{Namespace: "cardamomring", Subsystem: "control", Name: name, Help: help}
+	return prometheus.NewCounterVec(opts, []string{label})
+}
+
+// counter returns a counter.
+func counter(name, help string) prometheus.Counter {
+	return prometheus.NewCounter(prometheus.CounterOpts{
+		Namespace: "cardamomring", Subsystem: "control", Name: name, Help: help,
+	})
+}
+
+// gauge returns a gauge.
+func gauge(name, help string) prometheus.Gauge {
+	return prometheus.NewGauge(prometheus.GaugeOpts{
+		Namespace: "cardamomring", Subsystem: "control", Name: name, Help: help,
+	})
+}
--- /dev/null
+++ b/internal/crstate/change_test.go
@@ -0,0 +1,80 @@
+package crstate_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"cardamomring.dev/internal/crstate"
+	"cardamomring.dev/internal/crwire"
+	"cardamomring.dev/pkg/crdoc"
+)
+
+// apply sends a document as a change.
+func apply(state *crstate.State, id, author string, doc crdoc.Service, found ...crdoc.Finding) crstate.Reply {
+	c := &crwire.Change{ID: id, Author: author, Service: &doc}
+	return state.Apply(crstate.Entry{Time: start, Change: c, Findings: found})
+}
+
+// zone sends a zone change.
+func zone(state *crstate.State, id string, kind crwire.Kind, name string) {
+	c := &crwire.Change{ID: id, Author: "ann", Kind: kind, Zone: name}
+	state.Apply(crstate.Entry{Kind: kind, Time: start, Change: c})
+}
+
+func TestRivalsOnOneVersionHaveOneWinner(t *testing.T) {
+	state := crstate.New()
+	apply(state, "0", "ann", crdoc.Service{Name: "s"})
+	codes := map[crwire.Code]int{}
+	winners := map[string]int{}
+	for i := range 10 {
+		r := apply(state, fmt.Sprint("id", i), fmt.Sprint("operator", i), crdoc.Service{Name: "s", Version: 1}).Result
+		codes[r.Code]++
+		winners[r.Winner]++
+	}
+	if diff := cmp.Diff(map[crwire.Code]int{crwire.CodeOK: 1, crwire.CodeConflict: 9}, codes); diff != "" {
+		t.Errorf("codes (-want +got):\n%s", diff)
+	}
+	if diff := cmp.Diff(map[string]int{"": 1, "operator0": 9}, winners); diff != "" {
+		t.Errorf("winners (-want +got):\n%s", diff)
+	}
+}
+
+func TestSameIDGetsTheSameAnswer(t *testing.T) {
+	state := crstate.New()
+	first := apply(state, "1", "ann", crdoc.Service{Name: "s"})
+	apply(state, "2", "bob", crdoc.Service{Name: "s", Version: 1})
+	again := apply(state, "1", "ann", crdoc.Service{Name: "s"})
+	if diff := cmp.Diff(first.Result, again.Result); diff != "" || again.Delta != nil {
+		t.Errorf("resent, delta %v (-first +again):\n%s", again.Delta, diff)
+	}
+	other := apply(state, "1", "ann", crdoc.Service{Name: "other"}).Result
+	if other.Code != crwire.CodeInvalid {
+		t.Errorf("the ID on another change: %+v", other)
+	}
+}
+
+func TestRefusedChangesAreAuditedAndChangeNothing(t *testing.T) {
+	state := crstate.New()
+	apply(state, "1", "ann", crdoc.Service{Name: "s", Address: "x", Hosts: []string{"h"}})
+	apply(state, "2", "bob", crdoc.Service{Name: "t", Address: "x", Hosts: []string{"h"}})
+	apply(state, "3", "bob", crdoc.Service{Name: "t"}, crdoc.Finding{Place: "name", Text: "is bad"})
+	apply(state, "4", "bob", crdoc.Service{Name: "t", Version: 3})
+	zone(state, "5", crwire.KindZoneOut, "z")
+	zone(state, "6", crwire.KindZoneOut, "z")
+	var got []string
+	for _, a := range state.Audit(0, 100) {
+		got = append(got, fmt.Sprintf("%d rev %d %s %s %s %s", a.Seq, a.Revision, a.Author, a.Kind, a.Subject, a.Code))
+	}
+	want := []string{
+		"1 rev 1 ann apply s ok", "2 rev 1 bob apply t invalid", "3 rev 1 bob apply t invalid",
+		"4 rev 1 bob apply t conflict", "5 rev 2 ann zoneout z ok", "6 rev 2 ann zoneout z ok",
+	}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("audit trail (-want +got):\n%s", diff)
+	}
+	if got := len(state.Audit(4, 2)); got != 2 || state.Audit(4, 2)[1].Seq != 3 {
+		t.Errorf("page before 4: %+v", state.Audit(4, 2))
+	}
+}
--- a/internal/crwire/change.go
+++ b/internal/crwire/change.go
@@ -66,12 +66,24 @@
 	Winner string `json:"winner,omitempty"`
 	// Findings are what is wrong, on an invalid document.
 	Findings []crdoc.Finding `json:"findings,omitempty"`
+	// Leader is the leader's host:port, on an unavailable answer, if known.
+	Leader string `json:"leader,omitempty"`
 	// Text says it to people.
 	Text string `json:"text,omitempty"`
 }
 
+// Unavailable is the body of a 503 answer of control.
+type Unavailable struct {
+	// Leader is the leader's host:port, empty when unknown.
+	Leader string `json:"leader,omitempty"`
+	// Text says what happened.
+	Text string `json:"text"`
+}
+
 // Audit is one line of the audit trail.
 type Audit struct {
+	// Seq counts the lines from 1.
+	Seq uint64 `json:"seq"`
 	// Revision is the revision after the change.
 	Revision uint64 `json:"rev"`
 	// Time is the leader's clock when it proposed the change.
@@ -89,4 +101,6 @@
 	To   uint64 `json:"to"`
 	// Code is how it was answered.
 	Code Code `json:"code"`
+	// Text says why it was refused.
+	Text string `json:"text,omitempty"`
 }
--- a/internal/crwire/claim.go
+++ b/internal/crwire/claim.go
@@ -16,7 +16,9 @@
 type Verdict int
 
 const (
-	// VerdictUnavailable says that no quorum answered; nothing may run.
+	// VerdictUnavailable says that no quorum answered, that the service has
+	// no room for another key, or that the attempt gave the key back; nothing
+	// may run.
 	VerdictUnavailable Verdict = iota
 	// VerdictGranted lets the claimant run the request once.
 	VerdictGranted
