Flows end to end: HTTP/3 from callers over stateless balancers to agents

Aim: a caller's datagram may reach any balancer, and every one of them must send it to the agent that holds the connection, without state of its own.

First packets follow a chain from a weighted rendezvous table; the agents that stood first in replaced tables are asked before it and may only take what is theirs, so that an opening flow stays on one agent through a change of tables. The envelope between balancer and agent is authenticated (AES-CBC-MAC over its header) and carries the sender's revision. Answers go back through the balancer that forwarded the caller's last datagram.

--- a/internal/cragent/agent.go
+++ b/internal/cragent/agent.go
@@ -46,6 +46,14 @@
 	member crwire.Member
 	state  atomic.Int64
 	loops  sync.WaitGroup
+	// num is the agent's number, 0 before control has given one.
+	num atomic.Uint32
+	// flows holds callers' flows; nil without a datagram address.
+	flows *callerFlows
+	// source serves the view to processes that control can't reach.
+	source *crfeed.Source
+	// hint asks for the feed where a later revision was seen.
+	hint func(source string, rev uint64)
 }
 
 // Run serves until ctx ends; then it drains and stops.
@@ -56,13 +64,18 @@
 	defer a.client.Close()
 	a.caller = &crrun.Caller{Client: a.client}
 	a.view.Store(crfeed.Empty())
-	server := &crnet.Server{Addr: set.Run, Handler: http.HandlerFunc(a.serveRun)}
-	if err := server.Start(); err != nil {
+	a.source = crfeed.NewSource(crfeed.Empty())
+	a.hint = func(string, uint64) {}
+	if err := a.openFlows(); err != nil {
 		return err
 	}
+	server := &crnet.Server{Addr: set.Run, Handler: http.HandlerFunc(a.serve)}
+	if err := server.Start(); err != nil {
+		return errors.Join(err, a.closeFlows())
+	}
 	a.member = crwire.Member{
 		Name: a.Settings.Name, Service: set.Service, Zone: a.Settings.Zone, Host: set.Host,
-		Run: server.Bound(), Datagram: set.Datagram, Weight: set.Weight,
+		Run: server.Bound(), Datagram: a.datagramAddr(), Weight: set.Weight,
 	}
 	loopCtx, cancel := context.WithCancel(context.Background())
 	a.start(loopCtx)
@@ -85,11 +98,12 @@
 
 // drain tells control that the agent leaves and finishes what is under way.
 func (a *Agent) drain(server *crnet.Server) error {
+	a.setState(crwire.MemberDraining)
+	a.announce(context.Background())
+	flowErr := a.drainFlows()
 	ctx, cancel := context.WithTimeout(context.Background(), stopGrace)
 	defer cancel()
-	a.setState(crwire.MemberDraining)
-	a.announce(ctx)
-	err := server.Stop(ctx)
+	err := errors.Join(flowErr, server.Stop(ctx), a.closeFlows())
 	a.setState(crwire.MemberGone)
 	a.announce(ctx)
 	if errors.Is(err, context.DeadlineExceeded) {
@@ -99,7 +113,13 @@
 }
 
 // took stores a later view.
-func (a *Agent) took(v *crwire.View) { a.view.Store(v) }
+func (a *Agent) took(v *crwire.View) {
+	a.view.Store(v)
+	a.source.Reset(v)
+	if a.flows != nil {
+		a.flows.datagrams.took(v)
+	}
+}
 
 // failed notes a failed poll of the feed.
 func (a *Agent) failed(source string, err error) {
@@ -133,7 +153,16 @@
 		err := a.client.JSON(callCtx, addr, "/announce", crwire.Announce{Member: m}, &answer)
 		cancel()
 		if err == nil {
+			a.keepNum(answer.Num)
 			return
 		}
 	}
 }
+
+// keepNum keeps the number that control gave; 0 means that membership is
+// frozen, and the agent keeps what it has.
+func (a *Agent) keepNum(num uint32) {
+	if num != 0 {
+		a.num.Store(num)
+	}
+}
--- /dev/null
+++ b/internal/cragent/certificate.go
@@ -0,0 +1,77 @@
+package cragent
+
+import (
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"os"
+	"sync/atomic"
+	"time"
+)
+
+// certificateTick is how often the certificate's files are looked at.
+const certificateTick = 2 * time.Second
+
+// certificate is the certificate shown to callers. It follows its files;
+// connections that stand keep what they were opened with.
+type certificate struct {
+	cert string
+	key  string
+	logf func(format string, args ...any)
+
+	pair  atomic.Pointer[tls.Certificate]
+	stamp [2]time.Time
+}
+
+// load reads the files.
+func (c *certificate) load() error {
+	if c.cert == "" || c.key == "" {
+		return errors.New("agent.cert, agent.key: name the files shown to HTTP/3 callers")
+	}
+	c.stamp = c.stamps()
+	pair, err := tls.LoadX509KeyPair(c.cert, c.key)
+	if err != nil {
+		return fmt.Errorf("certificate %s: %w", c.cert, err)
+	}
+	c.pair.Store(&pair)
+	return nil
+}
+
+// get serves tls.Config.GetCertificate.
+func (c *certificate) get(*tls.ClientHelloInfo) (*tls.Certificate, error) { return c.pair.Load(), nil }
+
+// run reads the files again when they have changed, until done is closed. A
+// pair that doesn't fit together is tried again later.
+func (c *certificate) run(done <-chan struct{}) {
+	tick := time.NewTicker(certificateTick)
+	defer tick.Stop()
+	for failing := false; ; {
+		select {
+		case <-tick.C:
+		case <-done:
+			return
+		}
+		if !failing && c.stamps() == c.stamp {
+			continue
+		}
+		err := c.load()
+		if err != nil && !failing {
+			c.logf("keeping the certificate: %v", err)
+		}
+		if err == nil {
+			c.logf("certificate %s reloaded", c.cert)
+		}
+		failing = err != nil
+	}
+}
+
+// stamps returns when the files were changed.
+func (c *certificate) stamps() [2]time.Time {
+	var out [2]time.Time
+	for i, name := range []string{c.cert, c.key} {
+		if info, err := os.Stat(name); err == nil {
+			out[i] = info.ModTime()
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/cragent/counters.go
@@ -0,0 +1,41 @@
+package cragent
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+
+	"cardamomring.dev/internal/crflow"
+	"cardamomring.dev/internal/crroute"
+)
+
+// counters count datagrams. They are made before the first datagram.
+type counters struct {
+	dropped []prometheus.Counter
+	actions []prometheus.Counter
+}
+
+// newCounters registers the counters.
+func newCounters(r prometheus.Registerer) *counters {
+	c := &counters{}
+	dropped := prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "cardamomring_agent_dropped_total",
+		Help: "Datagrams dropped, by reason.",
+	}, []string{"reason"})
+	actions := prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "cardamomring_agent_datagrams_total",
+		Help: "Datagrams of callers, by what was decided about them.",
+	}, []string{"action"})
+	r.MustRegister(dropped, actions)
+	for _, reason := range crroute.ReasonValues() {
+		c.dropped = append(c.dropped, dropped.WithLabelValues(reason.String()))
+	}
+	for _, action := range crflow.ActionValues() {
+		c.actions = append(c.actions, actions.WithLabelValues(action.String()))
+	}
+	return c
+}
+
+// drop counts a dropped datagram.
+func (c *counters) drop(reason crroute.Reason) { c.dropped[reason].Inc() }
+
+// decided counts a decision.
+func (c *counters) decided(action crflow.Action) { c.actions[action].Inc() }
--- /dev/null
+++ b/internal/cragent/flows.go
@@ -0,0 +1,119 @@
+package cragent
+
+import (
+	"context"
+	"crypto/rand"
+	"errors"
+	"net"
+	"net/http"
+	"os"
+
+	"cardamomring.dev/internal/crroute"
+	"cardamomring.dev/internal/crrun"
+	"cardamomring.dev/internal/crwire"
+)
+
+// callerFlows is what the agent needs to end callers' flows.
+type callerFlows struct {
+	datagrams *datagrams
+	server    *flowServer
+	cert      *certificate
+	done      chan struct{}
+}
+
+// openFlows listens for envelopes and serves HTTP/3 on what they carry. It
+// does nothing without a datagram address.
+func (a *Agent) openFlows() error {
+	set := a.Settings.Agent
+	if set.Datagram == "" {
+		return nil
+	}
+	keys, err := crroute.LoadKeyring(a.Settings.Keys, os.ReadFile)
+	if err != nil {
+		return err
+	}
+	cert := &certificate{cert: set.Cert, key: set.Key, logf: a.Logf}
+	if err := cert.load(); err != nil {
+		return err
+	}
+	d := &datagrams{
+		service: set.Service, zone: a.Settings.Zone, num: a.num.Load, draining: a.leaving,
+		room: func() bool { return true }, ahead: a.ahead, counters: newCounters(a.Registry),
+	}
+	if err := d.open(set.Datagram, keys); err != nil {
+		return err
+	}
+	server := &flowServer{handler: http.HandlerFunc(a.serveFlow)}
+	d.conn = newPacketConn(net.UDPAddrFromAddrPort(d.socket.Bound()), d.answer)
+	if err := server.start(d, keys, cert); err != nil {
+		return errors.Join(err, d.socket.Close())
+	}
+	a.flows = &callerFlows{datagrams: d, server: server, cert: cert, done: make(chan struct{})}
+	a.loops.Go(func() { d.run(a.flows.done) })
+	a.loops.Go(func() { cert.run(a.flows.done) })
+	return nil
+}
+
+// datagramAddr returns the address that envelopes come in on, empty for none.
+func (a *Agent) datagramAddr() string {
+	if a.flows == nil {
+		return ""
+	}
+	return a.flows.datagrams.socket.Bound().String()
+}
+
+// drainFlows waits for callers' flows to end until the service's grace is
+// over; new flows are passed on meanwhile.
+func (a *Agent) drainFlows() error {
+	if a.flows == nil {
+		return nil
+	}
+	grace := stopGrace
+	if doc := a.view.Load().Services[a.member.Service]; doc != nil && doc.Grace > 0 {
+		grace = doc.Grace.D()
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), grace)
+	defer cancel()
+	return a.flows.server.stop(ctx)
+}
+
+// closeFlows ends the socket and the loops of the flows.
+func (a *Agent) closeFlows() error {
+	if a.flows == nil {
+		return nil
+	}
+	close(a.flows.done)
+	return a.flows.datagrams.socket.Close()
+}
+
+// leaving reports whether the agent takes no new work.
+func (a *Agent) leaving() bool {
+	return crwire.MemberState(a.state.Load()) != crwire.MemberActive
+}
+
+// serveFlow answers a request of a caller on one of the agent's flows.
+func (a *Agent) serveFlow(w http.ResponseWriter, r *http.Request) {
+	req, err := crrun.FromCaller(r, a.member.Service, rand.Text())
+	if err != nil {
+		crrun.Reject(http.StatusRequestEntityTooLarge, "body").Write(w)
+		return
+	}
+	a.Serve(r.Context(), req).Write(w)
+}
+
+// ahead asks for the feed where a later revision was seen. The sender's
+// number is 0 when it is a balancer, which serves none; then any other agent
+// is asked.
+func (a *Agent) ahead(sender uint32, rev uint64) {
+	view := a.view.Load()
+	if m, ok := view.Members[sender]; ok {
+		a.hint(m.Run, rev)
+		return
+	}
+	for num, m := range view.Members {
+		if num != a.num.Load() {
+			a.hint(m.Run, rev)
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/cragent/packetconn.go
@@ -0,0 +1,130 @@
+package cragent
+
+import (
+	"net"
+	"net/netip"
+	"os"
+	"sync"
+	"time"
+
+	"cardamomring.dev/internal/crnet"
+)
+
+// packetQueue is how many datagrams wait for the QUIC transport.
+const packetQueue = 4096
+
+// packet is a caller's datagram.
+type packet struct {
+	caller netip.AddrPort
+	buf    *[]byte
+}
+
+// packetConn is the net.PacketConn of the QUIC transport: what it reads came
+// in envelopes, and what it writes goes back by send.
+type packetConn struct {
+	// send sends a datagram to a caller.
+	send func(b []byte, caller netip.AddrPort) error
+	// local is the address that the transport sees as its own.
+	local net.Addr
+
+	queue  chan packet
+	closed chan struct{}
+	once   sync.Once
+	pool   sync.Pool
+
+	mu sync.Mutex
+	// expired is closed when the read deadline has passed.
+	expired chan struct{}
+	timer   *time.Timer
+}
+
+// newPacketConn returns a connection that nothing has been delivered to.
+func newPacketConn(local net.Addr, send func(b []byte, caller netip.AddrPort) error) *packetConn {
+	return &packetConn{
+		send: send, local: local,
+		queue: make(chan packet, packetQueue), closed: make(chan struct{}), expired: make(chan struct{}),
+		pool: sync.Pool{New: func() any { b := make([]byte, 0, crnet.DatagramMax); return &b }},
+	}
+}
+
+// deliver queues a copy of a datagram; false says that the queue is full.
+func (c *packetConn) deliver(b []byte, caller netip.AddrPort) bool {
+	buf, ok := c.pool.Get().(*[]byte)
+	if !ok {
+		return false
+	}
+	*buf = append((*buf)[:0], b...)
+	select {
+	case c.queue <- packet{caller: caller, buf: buf}:
+		return true
+	default:
+		c.pool.Put(buf)
+		return false
+	}
+}
+
+// ReadFrom returns the next datagram.
+func (c *packetConn) ReadFrom(b []byte) (int, net.Addr, error) {
+	c.mu.Lock()
+	expired := c.expired
+	c.mu.Unlock()
+	select {
+	case p := <-c.queue:
+		n := copy(b, *p.buf)
+		c.pool.Put(p.buf)
+		return n, net.UDPAddrFromAddrPort(p.caller), nil
+	case <-expired:
+		return 0, nil, os.ErrDeadlineExceeded
+	case <-c.closed:
+		return 0, nil, net.ErrClosed
+	}
+}
+
+// WriteTo sends a datagram to a caller. A datagram that can't be sent is
+// lost, as on any network.
+func (c *packetConn) WriteTo(b []byte, addr net.Addr) (int, error) {
+	udp, ok := addr.(*net.UDPAddr)
+	if !ok {
+		return 0, net.InvalidAddrError("want a UDP address")
+	}
+	to := udp.AddrPort()
+	_ = c.send(b, netip.AddrPortFrom(to.Addr().Unmap(), to.Port()))
+	return len(b), nil
+}
+
+// Close ends ReadFrom.
+func (c *packetConn) Close() error {
+	c.once.Do(func() { close(c.closed) })
+	return nil
+}
+
+// LocalAddr returns the address that the transport sees as its own.
+func (c *packetConn) LocalAddr() net.Addr { return c.local }
+
+// SetDeadline sets the deadline of ReadFrom.
+func (c *packetConn) SetDeadline(t time.Time) error { return c.SetReadDeadline(t) }
+
+// SetWriteDeadline does nothing: WriteTo doesn't wait.
+func (c *packetConn) SetWriteDeadline(time.Time) error { return nil }
+
+// SetReadDeadline ends calls of ReadFrom at t; the zero time lets them wait.
+func (c *packetConn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.timer != nil && !c.timer.Stop() {
+		c.expired = make(chan struct{})
+	}
+	c.timer = nil
+	if !t.IsZero() {
+		expired := c.expired
+		c.timer = time.AfterFunc(time.Until(t), func() { close(expired) })
+	}
+	return nil
+}
+
+// SetReadBuffer does nothing: the queue's size is fixed. The QUIC transport
+// asks for it.
+func (c *packetConn) SetReadBuffer(int) error { return nil }
+
+// SetWriteBuffer does nothing: the socket sets its own.
+func (c *packetConn) SetWriteBuffer(int) error { return nil }
--- /dev/null
+++ b/internal/cragent/quic.go
@@ -0,0 +1,132 @@
+package cragent
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"fmt"
+	mathrand "math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/quic-go/quic-go"
+	"github.com/quic-go/quic-go/http3"
+
+	"cardamomring.dev/internal/crroute"
+)
+
+const (
+	// connIdle ends a connection that carries nothing.
+	connIdle = 60 * time.Second
+	// streamsMax is how many requests one connection has under way.
+	streamsMax = 256
+	// retryShare is the part of the opening flows' area that may fill
+	// before callers must prove their address.
+	retryShare = 0.25
+)
+
+// Labels of the keys that all agents share.
+const (
+	labelReset  = "cardamomring stateless reset"
+	labelToken  = "cardamomring address token"
+	labelTicket = "cardamomring session ticket"
+)
+
+// errStarting says that no connection ID can be made yet.
+var errStarting = errors.New("the agent has no number yet")
+
+// generator makes connection IDs that name this agent. It is safe for
+// concurrent use.
+type generator struct {
+	num func() uint32
+	tag uint32
+
+	mu     sync.Mutex
+	sealer *crroute.Sealer
+	nonce  uint64
+}
+
+// GenerateConnectionID returns the next connection ID.
+func (g *generator) GenerateConnectionID() (quic.ConnectionID, error) {
+	num := g.num()
+	if num == 0 {
+		return quic.ConnectionID{}, errStarting
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.nonce = crroute.NextNonce(g.nonce)
+	var b [crroute.IDLen]byte
+	id := crroute.ID{Agent: num, Tag: g.tag, Nonce: g.nonce}
+	return quic.ConnectionIDFromBytes(g.sealer.AppendID(b[:0], id)), nil
+}
+
+// ConnectionIDLen returns the length of every ID.
+func (g *generator) ConnectionIDLen() int { return crroute.IDLen }
+
+// flowServer ends callers' QUIC connections and serves HTTP/3 on them.
+type flowServer struct {
+	// handler serves the requests.
+	handler http.Handler
+
+	transport *quic.Transport
+	listener  *quic.EarlyListener
+	server    *http3.Server
+	done      chan error
+}
+
+// start serves what conn delivers. Every agent derives the same keys for
+// stateless resets, address tokens and session tickets, so that any of them
+// answers for one that has gone. Early data stays off: it can be replayed.
+func (s *flowServer) start(d *datagrams, keys *crroute.Keyring, cert *certificate) error {
+	reset, resetErr := keys.Derive(labelReset)
+	token, tokenErr := keys.Derive(labelToken)
+	ticket, ticketErr := keys.Derive(labelTicket)
+	if err := errors.Join(resetErr, tokenErr, ticketErr); err != nil {
+		return err
+	}
+	resetKey, tokenKey := quic.StatelessResetKey(reset), quic.TokenGeneratorKey(token)
+	s.transport = &quic.Transport{
+		Conn: d.conn,
+		ConnectionIDGenerator: &generator{
+			num: d.num, tag: crroute.Tag(d.service),
+			sealer: crroute.NewSealer(keys), nonce: mathrand.Uint64(),
+		},
+		StatelessResetKey: &resetKey,
+		TokenGeneratorKey: &tokenKey,
+		VerifySourceAddress: func(net.Addr) bool {
+			_, opening := d.flows.Len()
+			return float64(opening) > retryShare*flowsOpening
+		},
+	}
+	tlsConf := &tls.Config{GetCertificate: cert.get, MinVersion: tls.VersionTLS13}
+	tlsConf.SetSessionTicketKeys([][32]byte{ticket})
+	listener, err := s.transport.ListenEarly(http3.ConfigureTLSConfig(tlsConf), &quic.Config{
+		MaxIdleTimeout: connIdle, MaxIncomingStreams: streamsMax,
+	})
+	if err != nil {
+		return fmt.Errorf("listen for QUIC: %w", err)
+	}
+	s.listener = listener
+	s.server = &http3.Server{Handler: s.handler}
+	s.done = make(chan error, 1)
+	go s.run()
+	return nil
+}
+
+// run serves until the listener is closed.
+func (s *flowServer) run() {
+	err := s.server.ServeListener(s.listener)
+	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, quic.ErrServerClosed) {
+		err = nil
+	}
+	s.done <- err
+}
+
+// stop tells callers to open no further requests, waits for those under way
+// until ctx ends, and closes what remains.
+func (s *flowServer) stop(ctx context.Context) error {
+	err := s.server.Shutdown(ctx)
+	return errors.Join(err, s.listener.Close(), s.transport.Close(), <-s.done)
+}
--- a/internal/crbalancer/balancer.go
+++ b/internal/crbalancer/balancer.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -45,6 +46,10 @@
 	view    atomic.Pointer[crwire.View]
 	running atomic.Int64
 	loops   sync.WaitGroup
+	// forwarder passes datagrams; nil when the settings ask for none.
+	forwarder *forwarder
+	// hint asks for the feed where a later revision was seen.
+	hint func(source string, rev uint64)
 }
 
 // Run serves until ctx ends; then it finishes the requests under way.
@@ -70,7 +75,13 @@
 	if err := engine.Start(); err != nil {
 		return fmt.Errorf("start the HTTP engine: %w", err)
 	}
+	b.hint = func(string, uint64) {}
 	loopCtx, cancel := context.WithCancel(context.Background())
+	if err := b.openDatagrams(loopCtx.Done()); err != nil {
+		cancel()
+		engine.Stop()
+		return err
+	}
 	follower := &crfeed.Follower{
 		Client: b.client, Sources: b.Settings.Control, Took: b.took, Failed: b.failed,
 	}
@@ -82,7 +93,7 @@
 	cancel()
 	b.loops.Wait()
 	engine.Stop()
-	return err
+	return errors.Join(err, b.closeDatagrams())
 }
 
 // drain waits for the requests under way, at most stopGrace.
@@ -94,7 +105,12 @@
 }
 
 // took stores a later view.
-func (b *Balancer) took(v *crwire.View) { b.view.Store(v) }
+func (b *Balancer) took(v *crwire.View) {
+	b.view.Store(v)
+	if b.forwarder != nil {
+		b.forwarder.took(v)
+	}
+}
 
 // failed notes a failed poll of the feed.
 func (b *Balancer) failed(source string, err error) {
--- /dev/null
+++ b/internal/crflow/table.go
@@ -0,0 +1,188 @@
+package crflow
+
+import (
+	"net/netip"
+	"time"
+)
+
+// Flow is what is known of one caller's address.
+type Flow struct {
+	// Return is where answers go.
+	Return netip.AddrPort
+	// Passed is the agent that the flow was passed on to, 0 when it is ours.
+	Passed uint32
+}
+
+// Table holds flows by the caller's address within a fixed number of
+// entries. New flows go into a small area on probation, where the oldest
+// makes room for the next; a flow that Confirm has named moves to the live
+// area, where only an idle one makes room. So a flood of first packets
+// pushes out other first packets and never a live flow. Set the exported
+// fields before Open. It is for one goroutine at a time.
+type Table struct {
+	// Live is the largest number of confirmed flows. At least 1.
+	Live int
+	// Probation is the largest number of flows that are opening. At least 1.
+	Probation int
+	// LiveIdle ends a confirmed flow that no datagram has used.
+	LiveIdle time.Duration
+	// OpenIdle ends a flow on probation that no datagram has used.
+	OpenIdle time.Duration
+
+	index     map[netip.AddrPort]int32
+	entries   []entry
+	live      list
+	probation list
+	free      list
+}
+
+// none ends a list.
+const none = int32(-1)
+
+// entry is one flow. prev and next link it into one of the lists, oldest
+// first.
+type entry struct {
+	flow      Flow
+	caller    netip.AddrPort
+	seen      int64
+	prev      int32
+	next      int32
+	confirmed bool
+}
+
+// list is a doubly linked list through the entries.
+type list struct {
+	head, tail int32
+	n          int
+}
+
+// Open makes the table ready. It takes all the memory that the table's
+// entries will ever take.
+func (t *Table) Open() {
+	t.index = make(map[netip.AddrPort]int32)
+	t.entries = make([]entry, t.Live+t.Probation)
+	t.live, t.probation, t.free = emptyList(), emptyList(), emptyList()
+	for i := range t.entries {
+		t.push(&t.free, int32(i))
+	}
+}
+
+// Get returns the flow of a caller and notes that a datagram used it.
+func (t *Table) Get(caller netip.AddrPort, now time.Time) (Flow, bool) {
+	t.age(now)
+	i, ok := t.index[caller]
+	if !ok {
+		return Flow{}, false
+	}
+	t.touch(i, now)
+	return t.entries[i].flow, true
+}
+
+// Put records a flow, on probation when it is new.
+func (t *Table) Put(caller netip.AddrPort, f Flow, now time.Time) {
+	t.age(now)
+	if i, ok := t.index[caller]; ok {
+		t.entries[i].flow = f
+		t.touch(i, now)
+		return
+	}
+	if t.probation.n == t.Probation {
+		t.drop(&t.probation, t.probation.head)
+	}
+	i := t.free.head
+	t.unlink(&t.free, i)
+	t.entries[i] = entry{flow: f, caller: caller, seen: now.UnixNano()}
+	t.push(&t.probation, i)
+	t.index[caller] = i
+}
+
+// Confirm moves a flow to the live area, if it has room; otherwise the flow
+// stays on probation.
+func (t *Table) Confirm(caller netip.AddrPort, now time.Time) {
+	t.age(now)
+	i, ok := t.index[caller]
+	if !ok || t.entries[i].confirmed || t.live.n == t.Live {
+		return
+	}
+	t.unlink(&t.probation, i)
+	t.push(&t.live, i)
+	t.entries[i].confirmed = true
+	t.entries[i].seen = now.UnixNano()
+}
+
+// Remove forgets the flow of a caller.
+func (t *Table) Remove(caller netip.AddrPort) {
+	if i, ok := t.index[caller]; ok {
+		t.drop(t.listOf(i), i)
+	}
+}
+
+// Len returns the number of confirmed flows and of those on probation.
+func (t *Table) Len() (live, probation int) { return t.live.n, t.probation.n }
+
+// touch moves an entry to the young end of its list.
+func (t *Table) touch(i int32, now time.Time) {
+	l := t.listOf(i)
+	t.entries[i].seen = now.UnixNano()
+	t.unlink(l, i)
+	t.push(l, i)
+}
+
+// age drops the flows that have been idle too long.
+func (t *Table) age(now time.Time) {
+	t.ageList(&t.live, now.Add(-t.LiveIdle).UnixNano())
+	t.ageList(&t.probation, now.Add(-t.OpenIdle).UnixNano())
+}
+
+// ageList drops the entries of a list that were last used before a time.
+func (t *Table) ageList(l *list, before int64) {
+	for l.head != none && t.entries[l.head].seen < before {
+		t.drop(l, l.head)
+	}
+}
+
+// drop forgets an entry.
+func (t *Table) drop(l *list, i int32) {
+	t.unlink(l, i)
+	delete(t.index, t.entries[i].caller)
+	t.push(&t.free, i)
+}
+
+// listOf returns the list that holds an entry in use.
+func (t *Table) listOf(i int32) *list {
+	if t.entries[i].confirmed {
+		return &t.live
+	}
+	return &t.probation
+}
+
+// emptyList returns a list without entries.
+func emptyList() list { return list{head: none, tail: none} }
+
+// push appends an entry at a list's young end.
+func (t *Table) push(l *list, i int32) {
+	t.entries[i].prev, t.entries[i].next = l.tail, none
+	if l.tail == none {
+		l.head = i
+	} else {
+		t.entries[l.tail].next = i
+	}
+	l.tail = i
+	l.n++
+}
+
+// unlink takes an entry out of a list.
+func (t *Table) unlink(l *list, i int32) {
+	e := &t.entries[i]
+	if e.prev == none {
+		l.head = e.next
+	} else {
+		t.entries[e.prev].next = e.next
+	}
+	if e.next == none {
+		l.tail = e.prev
+	} else {
+		t.entries[e.next].prev = e.prev
+	}
+	l.n--
+}
--- /dev/null
+++ b/internal/crroute/packet.go
@@ -0,0 +1,51 @@
+package crroute
+
+import "encoding/binary"
+
+const (
+	// longBit is set in the first byte of a long header (RFC 9000, 17.2).
+	longBit = 0x80
+	// longMin is the shortest long header up to the destination ID's length.
+	longMin = 6
+	// callerIDMin is the shortest destination ID that a caller may choose.
+	callerIDMin = 8
+	// callerIDMax is the longest ID of the versions that we know.
+	callerIDMax = 20
+	// initialMin is the smallest datagram that may carry a first packet
+	// (RFC 9000, 14.1).
+	initialMin = 1200
+)
+
+// Packet is what a balancer reads of a QUIC packet (RFC 8999).
+type Packet struct {
+	// Long says that it has a long header.
+	Long bool
+	// Dest is its destination connection ID; it points into the datagram.
+	Dest []byte
+	// First says that it may begin a connection: it has the size of one.
+	First bool
+}
+
+// ReadPacket reads the header of a caller's datagram.
+func ReadPacket(b []byte) (Packet, Reason) {
+	if len(b) == 0 {
+		return Packet{}, ReasonShort
+	}
+	if b[0]&longBit == 0 {
+		if len(b) < 1+IDLen {
+			return Packet{}, ReasonShort
+		}
+		return Packet{Dest: b[1 : 1+IDLen]}, ReasonNone
+	}
+	if len(b) < longMin {
+		return Packet{}, ReasonShort
+	}
+	n := int(b[longMin-1])
+	if binary.BigEndian.Uint32(b[1:]) == 0 || n > callerIDMax {
+		return Packet{}, ReasonHeader
+	}
+	if len(b) < longMin+n {
+		return Packet{}, ReasonShort
+	}
+	return Packet{Long: true, Dest: b[longMin : longMin+n], First: len(b) >= initialMin}, ReasonNone
+}
--- /dev/null
+++ b/internal/crwire/envelope.go
@@ -0,0 +1,271 @@
+package crwire
+
+import (
+	"encoding/binary"
+	"errors"
+	"math"
+	"net/netip"
+
+	"google.golang.org/protobuf/encoding/protowire"
+)
+
+// EnvelopeKind is what an envelope is for.
+type EnvelopeKind int
+
+const (
+	// EnvelopeForward carries a caller's datagram to an agent.
+	EnvelopeForward EnvelopeKind = iota
+	// EnvelopeAnswer carries an agent's datagram to a balancer, which sends
+	// it to the caller.
+	EnvelopeAnswer
+	// EnvelopeNotice carries only the sender's revision.
+	EnvelopeNotice
+)
+
+const (
+	// ChainMax is how many agents a chain names at most.
+	ChainMax = 8
+	// EnvelopeMACLen is the length of an envelope's authenticator, in bytes.
+	EnvelopeMACLen = 9
+	// envelopeVersion is the first byte of an envelope.
+	envelopeVersion = 1
+	// envelopeFixed is the length of version, authenticator and the length
+	// of the header, in bytes.
+	envelopeFixed = 1 + EnvelopeMACLen + 2
+	// serviceMax is the longest name of a service, in bytes.
+	serviceMax = 63
+)
+
+// Errors of OpenEnvelope.
+var (
+	// ErrEnvelopeShort says that an envelope ends too early.
+	ErrEnvelopeShort = errors.New("the envelope ends inside its header")
+	// ErrEnvelopeVersion says that an envelope has another version.
+	ErrEnvelopeVersion = errors.New("the envelope has another version")
+	// ErrEnvelopeForged says that its authenticator is wrong.
+	ErrEnvelopeForged = errors.New("the envelope is not authentic")
+	// ErrEnvelopeHeader says that its header is malformed.
+	ErrEnvelopeHeader = errors.New("the envelope's header is malformed")
+)
+
+// Envelope is a datagram between a balancer and an agent, or two agents: a
+// version byte, an authenticator of the header, the header's length (16 bits),
+// the header in the protocol buffers' wire format, and the caller's datagram
+// to the end.
+type Envelope struct {
+	// Kind says what it is for.
+	Kind EnvelopeKind
+	// Service names the service; it points into the datagram. At most 63 bytes.
+	Service []byte
+	// Caller is the caller's address.
+	Caller netip.AddrPort
+	// Return is where the balancer takes answers.
+	Return netip.AddrPort
+	// Revision is the sender's.
+	Revision uint64
+	// Sender is the sending agent's number, 0 for a balancer.
+	Sender uint32
+	// Owned says that the datagram bears a connection ID of ours.
+	Owned bool
+	// Chain names the agents in the order in which they are asked.
+	Chain [ChainMax]uint32
+	// Len is how many of Chain are set.
+	Len int
+	// Accept is the first place that may accept a new flow.
+	Accept int
+	// Position is the place of the receiver. Below Len unless Len is 0.
+	Position int
+	// Payload is the caller's datagram; it points into the datagram.
+	Payload []byte
+}
+
+// Field numbers of the header.
+const (
+	fieldKind protowire.Number = iota + 1
+	fieldService
+	fieldCaller
+	fieldReturn
+	fieldRevision
+	fieldSender
+	fieldOwned
+	fieldChain
+	fieldAccept
+	fieldPosition
+)
+
+// AppendEnvelope appends the envelope. It allocates nothing when dst has
+// room. mac returns the authenticator of the header.
+func AppendEnvelope(dst []byte, e *Envelope, mac func(header []byte) [EnvelopeMACLen]byte) []byte {
+	start := len(dst)
+	dst = append(dst, make([]byte, envelopeFixed)...)
+	header := len(dst)
+	dst = appendUint(dst, fieldKind, uint64(e.Kind))
+	dst = protowire.AppendTag(dst, fieldService, protowire.BytesType)
+	dst = protowire.AppendBytes(dst, e.Service)
+	dst = appendAddr(dst, fieldCaller, e.Caller)
+	dst = appendAddr(dst, fieldReturn, e.Return)
+	dst = appendUint(dst, fieldRevision, e.Revision)
+	dst = appendUint(dst, fieldSender, uint64(e.Sender))
+	dst = appendUint(dst, fieldOwned, protowire.EncodeBool(e.Owned))
+	for _, num := range e.Chain[:e.Len] {
+		dst = protowire.AppendTag(dst, fieldChain, protowire.VarintType)
+		dst = protowire.AppendVarint(dst, uint64(num))
+	}
+	dst = appendUint(dst, fieldAccept, uint64(e.Accept))
+	dst = appendUint(dst, fieldPosition, uint64(e.Position))
+	sum := mac(dst[header:])
+	dst[start] = envelopeVersion
+	copy(dst[start+1:], sum[:])
+	binary.BigEndian.PutUint16(dst[header-2:], uint16(len(dst)-header))
+	return append(dst, e.Payload...)
+}
+
+// appendUint appends a number unless it is 0.
+func appendUint(dst []byte, field protowire.Number, v uint64) []byte {
+	if v == 0 {
+		return dst
+	}
+	dst = protowire.AppendTag(dst, field, protowire.VarintType)
+	return protowire.AppendVarint(dst, v)
+}
+
+// appendAddr appends an address unless it is unset: 4 or 16 bytes, then the
+// port.
+func appendAddr(dst []byte, field protowire.Number, addr netip.AddrPort) []byte {
+	if !addr.IsValid() {
+		return dst
+	}
+	dst = protowire.AppendTag(dst, field, protowire.BytesType)
+	ip := addr.Addr().Unmap()
+	if ip.Is4() {
+		b := ip.As4()
+		dst = protowire.AppendVarint(dst, uint64(len(b)+2))
+		dst = append(dst, b[:]...)
+	} else {
+		b := ip.As16()
+		dst = protowire.AppendVarint(dst, uint64(len(b)+2))
+		dst = append(dst, b[:]...)
+	}
+	return binary.BigEndian.AppendUint16(dst, addr.Port())
+}
+
+// OpenEnvelope reads an envelope into e, whose Service and Payload then point
+// into b. verify reports whether mac is the authenticator of a header.
+func OpenEnvelope(b []byte, e *Envelope, verify func(header, mac []byte) bool) error {
+	if len(b) > 0 && b[0] != envelopeVersion {
+		return ErrEnvelopeVersion
+	}
+	if len(b) < envelopeFixed {
+		return ErrEnvelopeShort
+	}
+	n := int(binary.BigEndian.Uint16(b[envelopeFixed-2:]))
+	if len(b) < envelopeFixed+n {
+		return ErrEnvelopeShort
+	}
+	header := b[envelopeFixed : envelopeFixed+n]
+	if !verify(header, b[1:1+EnvelopeMACLen]) {
+		return ErrEnvelopeForged
+	}
+	*e = Envelope{Payload: b[envelopeFixed+n:]}
+	if !e.readHeader(header) || !e.valid() {
+		return ErrEnvelopeHeader
+	}
+	return nil
+}
+
+// readHeader reads the header's fields; each but the chain may stand once
+// and in order, and none that is unknown.
+func (e *Envelope) readHeader(b []byte) bool {
+	last := protowire.Number(0)
+	for len(b) > 0 {
+		field, kind, n := protowire.ConsumeTag(b)
+		if n < 0 || field < last || field == last && field != fieldChain {
+			return false
+		}
+		last = field
+		b = b[n:]
+		switch kind {
+		case protowire.VarintType:
+			v, n := protowire.ConsumeVarint(b)
+			if n < 0 || !e.setUint(field, v) {
+				return false
+			}
+			b = b[n:]
+		case protowire.BytesType:
+			v, n := protowire.ConsumeBytes(b)
+			if n < 0 || !e.setBytes(field, v) {
+				return false
+			}
+			b = b[n:]
+		default:
+			return false
+		}
+	}
+	return true
+}
+
+// setUint sets a field that is a number.
+func (e *Envelope) setUint(field protowire.Number, v uint64) bool {
+	if field != fieldRevision && v > math.MaxUint32 {
+		return false
+	}
+	switch field {
+	case fieldKind:
+		e.Kind = EnvelopeKind(v)
+	case fieldRevision:
+		e.Revision = v
+	case fieldSender:
+		e.Sender = uint32(v)
+	case fieldOwned:
+		e.Owned = protowire.DecodeBool(v)
+	case fieldChain:
+		if e.Len == ChainMax {
+			return false
+		}
+		e.Chain[e.Len] = uint32(v)
+		e.Len++
+	case fieldAccept:
+		e.Accept = int(v)
+	case fieldPosition:
+		e.Position = int(v)
+	default:
+		return false
+	}
+	return true
+}
+
+// setBytes sets a field that is a string of bytes.
+func (e *Envelope) setBytes(field protowire.Number, v []byte) bool {
+	var ok bool
+	switch field {
+	case fieldService:
+		e.Service, ok = v, len(v) <= serviceMax
+	case fieldCaller:
+		e.Caller, ok = readAddr(v)
+	case fieldReturn:
+		e.Return, ok = readAddr(v)
+	}
+	return ok
+}
+
+// readAddr reads an address.
+func readAddr(v []byte) (netip.AddrPort, bool) {
+	n := len(v) - 2
+	if n != 4 && n != 16 {
+		return netip.AddrPort{}, false
+	}
+	ip, _ := netip.AddrFromSlice(v[:n])
+	return netip.AddrPortFrom(ip, binary.BigEndian.Uint16(v[n:])), true
+}
+
+// valid reports whether the fields agree with one another.
+func (e *Envelope) valid() bool {
+	switch e.Kind {
+	case EnvelopeForward:
+		return e.Caller.IsValid() && e.Return.IsValid() && e.Position < e.Len && e.Accept <= e.Len
+	case EnvelopeAnswer:
+		return e.Caller.IsValid() && e.Len == 0
+	default:
+		return e.Kind == EnvelopeNotice
+	}
+}
