--- a/internal/cragent/datagram.go
+++ b/internal/cragent/datagram.go
@@ -51,11 +51,10 @@
 	flows  *crflow.Flows
 	plan   atomic.Pointer[crroute.Plan]
 
-	// sealer, env, buf, given and noticed are the receiving goroutine's.
+	// sealer, env, buf and noticed are the receiving goroutine's.
 	sealer  *crroute.Sealer
 	env     crwire.Envelope
 	buf     []byte
-	given   crflow.Datagram
 	noticed map[netip.AddrPort]time.Time
 
 	// out writes answers; sending guards it.
@@ -202,20 +201,16 @@
 	if reason != crroute.ReasonNone {
 		return reason
 	}
-	d.given = crflow.Datagram{
-		Caller: d.env.Caller, Return: d.env.Return, Owned: d.env.Owned, First: head.Long && head.First,
-		Chain: d.env.Chain[:d.env.Len], Accept: d.env.Accept, Position: d.env.Position,
-	}
-	decision := d.flows.Decide(&d.given, time.Now())
-	d.counters.decided(decision.Action)
-	switch decision.Action {
+	action := d.flows.Decide(&d.env, head.Long && head.First, time.Now())
+	d.counters.decided(action)
+	switch action {
 	case crflow.ActionHandle, crflow.ActionAccept:
 		if !d.conn.deliver(d.env.Payload, d.env.Caller) {
 			return crroute.ReasonQueue
 		}
 		return crroute.ReasonNone
 	case crflow.ActionPass:
-		return d.pass(plan, decision)
+		return d.pass(plan)
 	case crflow.ActionRefuse:
 		return crroute.ReasonRoom
 	default:
@@ -223,17 +218,12 @@
 	}
 }
 
-// pass sends the datagram on to another agent.
-func (d *datagrams) pass(plan *crroute.Plan, decision crflow.Decision) crroute.Reason {
-	t, ok := plan.Target(decision.To)
+// pass sends the datagram on to the agent that the envelope now names.
+func (d *datagrams) pass(plan *crroute.Plan) crroute.Reason {
+	t, ok := plan.Target(d.env.Chain[d.env.Position])
 	if !ok || t.Out {
 		return crroute.ReasonUnknown
 	}
-	if decision.Position == d.env.Len {
-		d.env.Chain[d.env.Len] = decision.To
-		d.env.Len++
-	}
-	d.env.Position = decision.Position
 	d.env.Sender, d.env.Revision = d.num(), plan.Revision
 	d.buf = crwire.AppendEnvelope(d.buf[:0], &d.env, d.sealer.MAC)
 	if d.socket.Send(d.buf, t.Addr) != nil {
--- a/internal/crflow/flows.go
+++ b/internal/crflow/flows.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -25,34 +26,6 @@
 	ActionStray
 )
 
-// Datagram is a caller's datagram as a decision needs it.
-type Datagram struct {
-	// Caller is the caller's address.
-	Caller netip.AddrPort
-	// Return is where answers go.
-	Return netip.AddrPort
-	// Owned says that it bears a connection ID that names this agent.
-	Owned bool
-	// First says that it may begin a flow.
-	First bool
-	// Chain names the agents in the order in which they are asked.
-	Chain []uint32
-	// Accept is the first place of the chain that may accept a new flow.
-	Accept int
-	// Position is this agent's place in the chain.
-	Position int
-}
-
-// Decision is what to do, and with whom.
-type Decision struct {
-	Action Action
-	// To is the agent that is asked next on ActionPass.
-	To uint32
-	// Position is that agent's place in the chain; the chain's length says
-	// that To is to be appended.
-	Position int
-}
-
 // Flows decides about each datagram of one agent. Set the exported fields
 // before use; it is safe for concurrent use.
 type Flows struct {
@@ -69,80 +42,78 @@
 	mu sync.Mutex
 }
 
-// Decide says what to do with a datagram. Every datagram of an opening flow
-// gets the same decision: the table remembers it.
-func (f *Flows) Decide(d *Datagram, now time.Time) Decision {
+// Decide says what to do with a caller's datagram; first says that it may
+// begin a flow. On ActionPass the envelope names the next agent as its
+// receiver. Every first packet of an opening flow gets the same decision:
+// the table remembers it.
+func (f *Flows) Decide(e *crwire.Envelope, first bool, now time.Time) Action {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	known, ok := f.Table.Get(d.Caller, now)
+	known, ok := f.Table.Get(e.Caller, now)
 	switch {
-	case d.Owned:
-		f.own(d, known, ok, now)
-		return Decision{Action: ActionHandle}
-	case ok && known.Passed == 0:
-		f.own(d, known, ok, now)
-		return Decision{Action: ActionHandle}
-	case ok && f.Known(known.Passed):
-		return f.again(d, known.Passed)
-	case d.First:
-		return f.open(d, now)
+	case e.Owned || ok && known.Passed == 0:
+		f.own(e, known, ok, now)
+		return ActionHandle
+	case ok && !returned(e) && f.Known(known.Passed):
+		return f.pass(e, known.Passed)
+	case first:
+		return f.open(e, now)
 	}
-	next := f.next(d)
-	if next == len(d.Chain) {
-		return Decision{Action: ActionStray}
+	next, ok := f.next(e)
+	if !ok {
+		return ActionStray
 	}
-	return Decision{Action: ActionPass, To: d.Chain[next], Position: next}
+	return f.pass(e, next)
 }
 
 // own records the way back of a flow that is ours.
-func (f *Flows) own(d *Datagram, known Flow, ok bool, now time.Time) {
-	if !ok || known.Return != d.Return || known.Passed != 0 {
-		f.Table.Put(d.Caller, Flow{Return: d.Return}, now)
+func (f *Flows) own(e *crwire.Envelope, known Flow, ok bool, now time.Time) {
+	if !ok || known.Return != e.Return || known.Passed != 0 {
+		f.Table.Put(e.Caller, Flow{Return: e.Return}, now)
 	}
-	if d.Owned {
-		f.Table.Confirm(d.Caller, now)
+	if e.Owned {
+		f.Table.Confirm(e.Caller, now)
 	}
 }
 
-// open decides about a flow that this agent doesn't know.
-func (f *Flows) open(d *Datagram, now time.Time) Decision {
-	next := f.next(d)
-	last := next == len(d.Chain)
-	if d.Position >= d.Accept && (f.Room() || last && f.Last()) {
-		f.Table.Put(d.Caller, Flow{Return: d.Return}, now)
-		return Decision{Action: ActionAccept}
+// open decides about a flow that this agent doesn't hold.
+func (f *Flows) open(e *crwire.Envelope, now time.Time) Action {
+	next, more := f.next(e)
+	if e.Position >= e.Accept && (f.Room() || !more && f.Last()) {
+		f.Table.Put(e.Caller, Flow{Return: e.Return}, now)
+		return ActionAccept
 	}
-	if last {
-		return Decision{Action: ActionRefuse}
+	if !more {
+		return ActionRefuse
 	}
-	f.Table.Put(d.Caller, Flow{Return: d.Return, Passed: d.Chain[next]}, now)
-	return Decision{Action: ActionPass, To: d.Chain[next], Position: next}
+	f.Table.Put(e.Caller, Flow{Return: e.Return, Passed: next}, now)
+	return f.pass(e, next)
 }
 
-// next returns the next place of the chain whose agent can be reached, the
-// chain's length when there is none.
-func (f *Flows) next(d *Datagram) int {
-	next := d.Position + 1
-	for next < len(d.Chain) && !f.Known(d.Chain[next]) {
-		next++
+// pass makes an agent the receiver. A chain without a place left has gone
+// round in circles: the flow is then decided anew next time.
+func (f *Flows) pass(e *crwire.Envelope, to uint32) Action {
+	if !e.Pass(to) {
+		f.Table.Remove(e.Caller)
+		return ActionRefuse
 	}
-	return next
+	return ActionPass
 }
 
-// again asks the same agent as before. Where a chain made from another table
-// doesn't name it, it is asked in a further place; a chain that has no place
-// left has come round, and the flow is decided anew next time.
-func (f *Flows) again(d *Datagram, num uint32) Decision {
-	for i := d.Position + 1; i < len(d.Chain); i++ {
-		if d.Chain[i] == num {
-			return Decision{Action: ActionPass, To: num, Position: i}
+// next returns the next agent of the chain that can be asked.
+func (f *Flows) next(e *crwire.Envelope) (uint32, bool) {
+	for _, num := range e.Chain[e.Position+1 : e.Len] {
+		if f.Known(num) {
+			return num, true
 		}
 	}
-	if len(d.Chain) == crwire.ChainMax {
-		f.Table.Remove(d.Caller)
-		return Decision{Action: ActionRefuse}
-	}
-	return Decision{Action: ActionPass, To: num, Position: len(d.Chain)}
+	return 0, false
+}
+
+// returned reports whether the datagram has been at this agent before: those
+// whom it was passed on to have passed it back.
+func returned(e *crwire.Envelope) bool {
+	return slices.Contains(e.Chain[:e.Position], e.Chain[e.Position])
 }
 
 // Return returns the way back to a caller.
--- /dev/null
+++ b/internal/crroute/connid_test.go
@@ -0,0 +1,167 @@
+package crroute_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"cardamomring.dev/internal/crroute"
+	"cardamomring.dev/pkg/crdoc"
+)
+
+// secrets are the contents of key files by name.
+var secrets = map[string]string{
+	"one": strings.Repeat("01", 32), "two": strings.Repeat("02", 32) + "\n", "short": "0102",
+}
+
+// readSecret stands for os.ReadFile.
+func readSecret(name string) ([]byte, error) {
+	text, ok := secrets[name]
+	if !ok {
+		return nil, fmt.Errorf("no file %q", name)
+	}
+	return []byte(text), nil
+}
+
+// sealer returns a sealer with keys, the first one first; the key's ID is
+// its place in the order one, two.
+func sealer(tb testing.TB, names ...string) *crroute.Sealer {
+	tb.Helper()
+	ids := map[string]int{"one": 1, "two": 2}
+	var keys []crdoc.Key
+	for _, name := range names {
+		keys = append(keys, crdoc.Key{ID: ids[name], File: name})
+	}
+	ring, err := crroute.LoadKeyring(keys, readSecret)
+	if err != nil {
+		tb.Fatal(err)
+	}
+	return crroute.NewSealer(ring)
+}
+
+func TestIDRoundTrip(t *testing.T) {
+	s := sealer(t, "one")
+	rapid.Check(t, func(t *rapid.T) {
+		want := crroute.ID{
+			Agent: rapid.Uint32().Draw(t, "agent"), Tag: rapid.Uint32().Draw(t, "tag"),
+			Nonce: rapid.Uint64Max(1<<40-1).Draw(t, "nonce"),
+		}
+		b := s.AppendID(nil, want)
+		got, ok := s.OpenID(b)
+		if diff := cmp.Diff(want, got); diff != "" || !ok || len(b) != crroute.IDLen {
+			t.Errorf("ok %v, length %d\n%s", ok, len(b), diff)
+		}
+	})
+}
+
+func TestIDRotation(t *testing.T) {
+	id := crroute.ID{Agent: 7, Tag: 8, Nonce: 9}
+	old := sealer(t, "one").AppendID(nil, id)
+	next := sealer(t, "two", "one").AppendID(nil, id)
+	for _, test := range []struct {
+		name string
+		keys []string
+		id   []byte
+		want bool
+	}{
+		{"old key after the new one was added behind it", []string{"one", "two"}, next, true},
+		{"old ID after the change", []string{"two", "one"}, old, true},
+		{"old ID after the old key was removed", []string{"two"}, old, false},
+		{"new ID before the new key is known", []string{"one"}, next, false},
+	} {
+		if _, got := sealer(t, test.keys...).OpenID(test.id); got != test.want {
+			t.Errorf("%s: opened %v, want %v", test.name, got, test.want)
+		}
+	}
+}
+
+func TestIDForged(t *testing.T) {
+	s := sealer(t, "one", "two")
+	random := rand.New(rand.NewPCG(1, 1))
+	for i := range 100_000 {
+		b := s.AppendID(nil, crroute.ID{Agent: 1, Tag: 2, Nonce: uint64(i)})
+		bit := random.IntN(8 * len(b))
+		b[bit/8] ^= 1 << (bit % 8)
+		if id, ok := s.OpenID(b); ok {
+			t.Fatalf("bit %d flipped: opened as %+v", bit, id)
+		}
+	}
+}
+
+func TestNonceDoesNotRepeat(t *testing.T) {
+	s := sealer(t, "one")
+	seen := map[string]bool{}
+	nonce := uint64(1<<40 - 500)
+	for range 1000 {
+		nonce = crroute.NextNonce(nonce)
+		seen[string(s.AppendID(nil, crroute.ID{Agent: 1, Nonce: nonce}))] = true
+	}
+	if diff := cmp.Diff(1000, len(seen)); diff != "" {
+		t.Error(diff)
+	}
+}
+
+func TestKeyringFindings(t *testing.T) {
+	_, err := crroute.LoadKeyring([]crdoc.Key{
+		{ID: 1, File: "one"}, {ID: 1, File: "two"}, {ID: 8, File: "one"}, {ID: 2, File: "short"}, {ID: 3, File: "none"},
+	}, readSecret)
+	want := "keys[1]: id 1 stands twice\nkeys[2]: id 8: want 0 to 7\n" +
+		"keys[3]: id 2: want 32 bytes in hexadecimal\nkeys[4]: no file \"none\""
+	if diff := cmp.Diff(want, fmt.Sprint(err)); diff != "" {
+		t.Error(diff)
+	}
+}
+
+func TestMAC(t *testing.T) {
+	one, two, both := sealer(t, "one"), sealer(t, "two"), sealer(t, "two", "one")
+	rapid.Check(t, func(t *rapid.T) {
+		b := rapid.SliceOfN(rapid.Byte(), 1, 80).Draw(t, "header")
+		mac := one.MAC(b)
+		if !one.Verify(b, mac[:]) || !both.Verify(b, mac[:]) || two.Verify(b, mac[:]) {
+			t.Error("the MAC must verify under its own key alone")
+		}
+		i := rapid.IntRange(0, len(b)-1).Draw(t, "changed")
+		b[i] ^= 0x40
+		if one.Verify(b, mac[:]) || one.Verify(append(b, 0), mac[:]) {
+			t.Error("a changed header verifies")
+		}
+	})
+}
+
+func FuzzOpenID(f *testing.F) {
+	s := sealer(f, "one", "two")
+	f.Add(s.AppendID(nil, crroute.ID{Agent: 1, Tag: 2, Nonce: 3}))
+	f.Add([]byte{})
+	f.Fuzz(func(t *testing.T, b []byte) {
+		id, ok := s.OpenID(b)
+		if !ok {
+			return
+		}
+		again, same := s.OpenID(sealer(t, "one", "two").AppendID(nil, id))
+		if diff := cmp.Diff(id, again); diff != "" || !same {
+			t.Errorf("opened IDs must seal again\n%s", diff)
+		}
+	})
+}
+
+func FuzzReadPacket(f *testing.F) {
+	s := sealer(f, "one")
+	id := s.AppendID(nil, crroute.ID{Agent: 1})
+	f.Add(append([]byte{0x40}, id...))
+	f.Add(append([]byte{0xc0, 0, 0, 0, 1, crroute.IDLen}, id...))
+	f.Add([]byte{0xc0, 0, 0, 0, 1, 21})
+	f.Add([]byte{0x80, 0, 0, 0, 0, 0})
+	f.Fuzz(func(t *testing.T, b []byte) {
+		packet, reason := crroute.ReadPacket(b)
+		if reason != crroute.ReasonNone {
+			return
+		}
+		if len(packet.Dest) > 20 || packet.Long != (b[0]&0x80 != 0) || !packet.Long && len(packet.Dest) != crroute.IDLen {
+			t.Errorf("read %+v", packet)
+		}
+	})
+}
--- a/internal/crwire/envelope.go
+++ b/internal/crwire/envelope.go
@@ -269,3 +269,30 @@
 		return e.Kind == EnvelopeNotice
 	}
 }
+
+// Pass moves an agent to the place after the receiver's, adding it to the
+// chain if it isn't named there, and makes it the receiver. The places up to
+// Position are then exactly the agents that have been asked. It reports
+// false when the chain has no place left. In a full chain an added agent
+// pushes out the last one.
+func (e *Envelope) Pass(to uint32) bool {
+	next := e.Position + 1
+	if next == ChainMax {
+		return false
+	}
+	from := next
+	for from < e.Len && e.Chain[from] != to {
+		from++
+	}
+	if from == e.Len {
+		e.Len = min(e.Len+1, ChainMax)
+		from = e.Len - 1
+	}
+	if next < e.Accept && from >= e.Accept {
+		e.Accept++
+	}
+	copy(e.Chain[next+1:from+1], e.Chain[next:from])
+	e.Chain[next] = to
+	e.Position = next
+	return true
+}
