Replicate the log: quorum, store and replica of three instances

The replica committed at once and alone.

A lost disk: each data folder has a random incarnation. Votes and acknowledgements count for an instance together with its incarnation. The leader that sees another incarnation demotes the instance to a learner by a configuration entry and promotes it once it holds every committed entry; both are plain membership changes of one instance. Weighed against it: a marker file that says the disk was in use (lost together with the disk), and an operator's command for each repair (a second loss may come first).

The first start: an empty disk alone can't tell a first start from a lost disk. The initial instance with the lowest ID founds the group only when every other initial instance has pledged, synced, that it holds nothing.

Freshness of a follower: it can't go by the arrival of a heartbeat, which may have waited in a socket while the process was stopped. The leader echoes the follower's own clock; the proof counts from that reading.

Proved so far over loopback with real files: each instance in turn stopped, its disk lost and repaired, three rounds, no accepted proposal gone; restart of all; replacement by command.

--- /dev/null
+++ b/internal/crquorum/found.go
@@ -0,0 +1,80 @@
+package crquorum
+
+// found asks the other initial instances to join a new group. Only the one
+// with the lowest ID founds, and only when every initial instance has pledged
+// that it holds nothing: an empty disk alone can't tell a first start from a
+// lost disk.
+func (n *Node) found() {
+	adopted := n.hard.Cluster != 0 && n.hard.Cluster != n.Life
+	if !n.isFounder(n.ID) || adopted && n.leaderAlive() {
+		return
+	}
+	if n.pledged() {
+		n.start()
+		return
+	}
+	for id := range n.Initial {
+		if id != n.ID {
+			n.send(Message{Kind: KindHello, To: id})
+		}
+	}
+}
+
+// isFounder says whether an instance has the lowest initial ID.
+func (n *Node) isFounder(id uint64) bool {
+	_, ok := n.Initial[id]
+	for other := range n.Initial {
+		ok = ok && id <= other
+	}
+	return ok
+}
+
+// onHello pledges to join the sender's group alone, unless this instance holds
+// a log or hears a leader.
+func (n *Node) onHello(m Message) {
+	heard := n.leader != 0 && n.leaderAlive()
+	if !n.blank() || heard || !n.isFounder(m.From) {
+		return
+	}
+	if n.hard.Cluster != m.Life {
+		n.hard.Cluster = m.Life
+		n.hardChanged = true
+	}
+	n.send(Message{Kind: KindPledge, To: m.From})
+}
+
+// onPledge notes that an instance waits for this one's group.
+func (n *Node) onPledge(m Message) error {
+	if !n.blank() || !n.isFounder(n.ID) || m.Cluster != n.Life {
+		return nil
+	}
+	n.pledges[m.From] = m.Life
+	if n.pledged() {
+		n.start()
+	}
+	return nil
+}
+
+// pledged says that every other initial instance has pledged.
+func (n *Node) pledged() bool {
+	for id := range n.Initial {
+		if id != n.ID && n.pledges[id] == 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// start writes the first configuration and stands for election; there can't
+// be another leader.
+func (n *Node) start() {
+	c := Config{Members: map[uint64]Member{}}
+	for id, addr := range n.Initial {
+		c.Members[id] = Member{Addr: addr, Life: n.pledges[id]}
+	}
+	c.Members[n.ID] = Member{Addr: n.Initial[n.ID], Life: n.Life}
+	n.hard.Cluster = n.Life
+	n.follow(n.hard.Term+1, 0)
+	n.add(EntryConfig, c.encode())
+	n.stand(true)
+}
--- /dev/null
+++ b/internal/crquorum/node.go
@@ -0,0 +1,257 @@
+package crquorum
+
+import "fmt"
+
+// phase is what an instance does in its term.
+type phase int
+
+const (
+	following phase = iota
+	probing
+	standing
+	leading
+)
+
+const (
+	// ElectionDefault is the shortest time without a leader before an
+	// instance stands for election, in ticks.
+	ElectionDefault = 20
+	// HeartbeatDefault is the time between heartbeats, in ticks.
+	HeartbeatDefault = 2
+	// clockRange bounds the random start of an instance's clock, so that an
+	// echo from before a restart doesn't look recent.
+	clockRange = 1 << 48
+)
+
+// Node is one instance of the log. Set the exported fields before Open. It is
+// not safe for concurrent use.
+type Node struct {
+	// ID is the instance's number, at least 1.
+	ID uint64
+	// Life is the incarnation of this instance's disk: random, never 0,
+	// drawn when the disk was found empty.
+	Life uint64
+	// Initial maps each initial instance to its host:port. The lowest ID
+	// founds the group once every one of them has pledged to join.
+	Initial map[uint64]string
+	// Rand returns a random number below n.
+	Rand func(n uint64) uint64
+	// Election and Heartbeat are in ticks; 0 means the default.
+	Election, Heartbeat uint64
+
+	hard        Hard
+	log         entryLog
+	commit      uint64
+	phase       phase
+	leader      uint64
+	hardChanged bool
+	restored    bool
+	applied     uint64
+
+	// now is the clock in ticks; contact is when a leader was last heard;
+	// deadline is when the next election or heartbeat is due.
+	now, contact, deadline uint64
+	// proof is the time at which this follower was last known to be up to
+	// date, 0 for never.
+	proof uint64
+	// ticks holds the last clock reading seen from each instance.
+	ticks map[uint64]uint64
+	tally map[uint64]bool
+	peers map[uint64]*progress
+	// synced is the last own entry that is on disk, while leading.
+	synced uint64
+	// handover is when this leader asked another to take over, 0 for never.
+	handover uint64
+	// started is when this instance became leader.
+	started uint64
+	pledges map[uint64]uint64
+
+	early, late []Message
+	syncing     syncing
+}
+
+// syncing is what the driver was last given to sync.
+type syncing struct {
+	term, last uint64
+	vote       bool
+}
+
+// Open starts from what was on disk: the zero Hard, no snapshot and no
+// entries when it was empty.
+func (n *Node) Open(hard Hard, snap *Snapshot, entries []Entry) error {
+	if n.Election == 0 {
+		n.Election = ElectionDefault
+	}
+	if n.Heartbeat == 0 {
+		n.Heartbeat = HeartbeatDefault
+	}
+	if n.ID == 0 || n.Life == 0 {
+		return fmt.Errorf("instance %d with incarnation %d: neither may be 0", n.ID, n.Life)
+	}
+	if err := n.log.open(snap, entries); err != nil {
+		return err
+	}
+	n.hard = hard
+	n.commit, n.applied = n.log.snap.Index, n.log.snap.Index
+	n.ticks = map[uint64]uint64{}
+	n.pledges = map[uint64]uint64{}
+	n.now = clockRange + n.Rand(clockRange)
+	n.contact = n.now
+	n.follow(n.hard.Term, 0)
+	if c := n.log.config(); c.Voters() == 1 && c.Counts(n.ID, n.Life) {
+		n.deadline = n.now
+	}
+	return nil
+}
+
+// Tick moves the clock on. After a pause the driver passes the whole gap, so
+// that leases end before anything is answered.
+func (n *Node) Tick(ticks uint64) {
+	n.now += ticks
+	if n.phase == leading {
+		n.tickLeader()
+		return
+	}
+	if n.now < n.deadline {
+		return
+	}
+	if n.blank() {
+		n.deadline = n.now + n.Heartbeat
+		n.found()
+		return
+	}
+	n.resetDeadline()
+	if n.log.config().Counts(n.ID, n.Life) {
+		n.probe()
+	}
+}
+
+// Step takes a message from another instance. A message that makes no sense
+// is dropped; an error means that this instance must stop.
+func (n *Node) Step(m Message) error {
+	if m.To != n.ID || m.From == n.ID || m.Life == 0 {
+		return nil
+	}
+	switch m.Kind {
+	case KindHello:
+		n.onHello(m)
+		return nil
+	case KindPledge:
+		return n.onPledge(m)
+	}
+	if !n.sameCluster(m) {
+		return nil
+	}
+	n.ticks[m.From] = m.Tick
+	if m.Term > n.hard.Term && !n.adopt(m) {
+		return nil
+	}
+	if m.Term < n.hard.Term {
+		n.answerStale(m)
+		return nil
+	}
+	return n.dispatch(m)
+}
+
+// dispatch handles a message of the current term, or a probe.
+func (n *Node) dispatch(m Message) error {
+	switch m.Kind {
+	case KindAppend:
+		return n.onAppend(m)
+	case KindSnapshot:
+		n.onSnapshot(m)
+	case KindAppended:
+		n.onAppended(m)
+	case KindProbe, KindVote:
+		n.onVote(m)
+	case KindProbed, KindVoted:
+		n.onVoted(m)
+	case KindTakeover:
+		if n.phase == following && n.log.config().Counts(n.ID, n.Life) {
+			n.stand(true)
+		}
+	}
+	return nil
+}
+
+// sameCluster says whether a message belongs to this instance's group. An
+// instance without a log joins the group of the leader that finds it; it has
+// acknowledged nothing yet, and its term and vote stay as they are.
+func (n *Node) sameCluster(m Message) bool {
+	fromLeader := m.Kind == KindAppend || m.Kind == KindSnapshot
+	if n.blank() && fromLeader && m.Cluster != n.hard.Cluster {
+		n.hard.Cluster = m.Cluster
+		n.hardChanged = true
+	}
+	return m.Cluster == n.hard.Cluster && m.Cluster != 0
+}
+
+// adopt takes over a higher term; false when the message is to be dropped.
+func (n *Node) adopt(m Message) bool {
+	switch m.Kind {
+	case KindProbe:
+		return true
+	case KindProbed:
+		if !m.Reject {
+			return true
+		}
+	case KindVote:
+		if !m.Forced && n.leaderAlive() {
+			return false
+		}
+	}
+	leader := uint64(0)
+	if m.Kind == KindAppend || m.Kind == KindSnapshot {
+		leader = m.From
+	}
+	n.follow(m.Term, leader)
+	return true
+}
+
+// answerStale tells the sender of an older term about the current one.
+func (n *Node) answerStale(m Message) {
+	switch m.Kind {
+	case KindAppend, KindSnapshot:
+		n.send(Message{Kind: KindAppended, To: m.From, Reject: true, Index: m.Index, Echo: m.Tick})
+	case KindProbe:
+		n.send(Message{Kind: KindProbed, To: m.From, Reject: true})
+	}
+}
+
+// follow becomes a follower in a term.
+func (n *Node) follow(term, leader uint64) {
+	if term != n.hard.Term {
+		n.hard.Term, n.hard.Vote = term, 0
+		n.hardChanged = true
+	}
+	n.phase, n.leader = following, leader
+	n.peers, n.tally = nil, nil
+	n.proof, n.handover = 0, 0
+	n.resetDeadline()
+}
+
+// resetDeadline draws a new election timeout.
+func (n *Node) resetDeadline() {
+	n.deadline = n.now + n.Election + n.Rand(n.Election)
+	if n.blank() {
+		n.deadline = n.now + n.Heartbeat
+	}
+}
+
+// send queues a message that must wait for the sync.
+func (n *Node) send(m Message) { n.late = append(n.late, n.seal(m)) }
+
+// sendEarly queues a message that may leave before the sync.
+func (n *Node) sendEarly(m Message) { n.early = append(n.early, n.seal(m)) }
+
+// seal fills in what each message carries.
+func (n *Node) seal(m Message) Message {
+	m.From, m.Life, m.Cluster, m.Tick = n.ID, n.Life, n.hard.Cluster, n.now
+	if m.Term == 0 {
+		m.Term = n.hard.Term
+	}
+	return m
+}
+
+// blank says that this instance holds nothing: it has no vote.
+func (n *Node) blank() bool { return n.log.last() == 0 }
--- /dev/null
+++ b/internal/crreplica/core.go
@@ -0,0 +1,88 @@
+package crreplica
+
+import (
+	"fmt"
+
+	"cardamomring.dev/internal/crquorum"
+	"cardamomring.dev/internal/crstore"
+)
+
+// keepShare is the part of Every that stays in the log after a snapshot, for
+// followers that are a little behind.
+const keepShare = 4
+
+// Core joins a node to its disk: it carries out the node's effects in order,
+// so that nothing is answered or applied before it is synced. It opens no
+// socket and reads no clock. Set the exported fields before Open.
+type Core struct {
+	// Node needs its ID, Initial and Rand; Open sets Life.
+	Node  *crquorum.Node
+	Store *crstore.Store
+	// Send hands messages to the network.
+	Send func(messages []crquorum.Message)
+	// Apply carries out a committed entry.
+	Apply func(e crquorum.Entry)
+	// Snapshot returns the state after the last applied entry.
+	Snapshot func() []byte
+	// Restore replaces the state by a snapshot.
+	Restore func(snap crquorum.Snapshot) error
+	// Every is how many entries are applied between snapshots.
+	Every uint64
+}
+
+// Open loads what is on disk. It returns how many bytes of an unfinished write
+// were cut off.
+func (c *Core) Open() (cut int64, err error) {
+	state, err := c.Store.Open()
+	if err != nil {
+		return 0, err
+	}
+	if state.Snapshot != nil {
+		if err := c.Restore(*state.Snapshot); err != nil {
+			return 0, fmt.Errorf("restore snapshot %d: %w", state.Snapshot.Index, err)
+		}
+	}
+	c.Node.Life = state.Life
+	return state.Cut, c.Node.Open(state.Hard, state.Snapshot, state.Entries)
+}
+
+// Settle carries out the node's effects until none is left. An error means
+// that the disk failed; the instance must stop and send nothing more.
+func (c *Core) Settle() error {
+	for c.Node.Pending() {
+		e := c.Node.Take()
+		c.Send(e.Early)
+		if err := c.persist(e); err != nil {
+			return err
+		}
+		c.Node.Synced()
+		c.Send(e.Late)
+		for _, entry := range e.Committed {
+			c.Apply(entry)
+		}
+	}
+	return c.compact()
+}
+
+// persist syncs what the node wants on disk.
+func (c *Core) persist(e crquorum.Effects) error {
+	if e.Snapshot == nil {
+		return c.Store.Append(e.Hard, e.Entries)
+	}
+	if err := c.Store.Replace(*e.Hard, *e.Snapshot, e.Entries); err != nil {
+		return err
+	}
+	if err := c.Restore(*e.Snapshot); err != nil {
+		return fmt.Errorf("restore snapshot %d: %w", e.Snapshot.Index, err)
+	}
+	return nil
+}
+
+// compact takes a snapshot when enough entries have been applied.
+func (c *Core) compact() error {
+	s := c.Node.Status()
+	if s.Applied-s.Snapshot < c.Every {
+		return nil
+	}
+	return c.Store.Replace(c.Node.Compact(c.Snapshot(), c.Every/keepShare))
+}
--- a/internal/crreplica/replica.go
+++ b/internal/crreplica/replica.go
@@ -6,12 +6,33 @@
 	"context"
 	"errors"
 	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
 
 	"cardamomring.dev/internal/crnet"
+	"cardamomring.dev/internal/crquorum"
+	"cardamomring.dev/internal/crstore"
 	"cardamomring.dev/pkg/crdoc"
 )
 
-// ErrStopped says that the replica has stopped.
+const (
+	// tickDefault is the length of a tick.
+	tickDefault = 50 * time.Millisecond
+	// proposeDefault bounds how long a proposal waits for its commit.
+	proposeDefault = 5 * time.Second
+	// snapshotDefault is how many entries are applied between snapshots.
+	snapshotDefault = 20_000
+	// pendingMax bounds the proposals that wait for their commit.
+	pendingMax = 8192
+	// inboxSize bounds the batches of messages that wait for the loop.
+	inboxSize = 64
+)
+
+// ErrStopped says that the replica has stopped. A proposal under way may or
+// may not be committed.
 var ErrStopped = errors.New("the replica has stopped")
 
 // ErrNoQuorum says that a proposal was not committed in time: it may or may
@@ -27,28 +48,7 @@
 // Error names the leader.
 func (e *NotLeaderError) Error() string { return "not the leader; the leader is " + e.Leader }
 
-// Status is what a replica knows of itself.
-type Status struct {
-	// ID is the instance's number.
-	ID uint64 `json:"id"`
-	// Term is the current term.
-	Term uint64 `json:"term"`
-	// Leader is the leader's ID, 0 when unknown.
-	Leader uint64 `json:"leader"`
-	// Address is the leader's host:port, empty when unknown.
-	Address string `json:"address"`
-	// Leading says that this instance is the leader.
-	Leading bool `json:"leading"`
-	// Fresh says that this instance has lately had proof that it holds what
-	// is in force: as leader from a quorum, otherwise from the leader.
-	Fresh bool `json:"fresh"`
-	// Commit is the index of the last committed entry.
-	Commit uint64 `json:"commit"`
-	// Voters maps each voting instance to its host:port.
-	Voters map[uint64]string `json:"voters"`
-}
-
-// Replica is one instance. Set the exported fields before Run.
+// Replica is one instance. Set the exported fields before Open.
 type Replica struct {
 	// Settings say who takes part and where the data folder is.
 	Settings *crdoc.Replica
@@ -64,39 +64,41 @@
 	// Changed is called in the replica's goroutine when Leading, Leader or
 	// Fresh changes.
 	Changed func(s Status)
-
-	calls chan func()
-	life  context.Context
-	index uint64
-}
-
-// Open loads what is on disk, applies what is known to be committed, and
-// makes the replica ready for Run, Propose and Do.
-func (r *Replica) Open(ctx context.Context) error {
-	r.calls = make(chan func())
-	r.life = ctx
-	return nil
-}
-
-// Run takes part in the log until the context of Open ends. An error means
-// that the disk failed or holds corrupt data; the instance must then stop.
-func (r *Replica) Run() error {
-	r.Changed(r.status())
-	for {
-		select {
-		case f := <-r.calls:
-			f()
-		case <-r.life.Done():
-			return nil
-		}
-	}
+	// Registry takes the metrics; nil for none.
+	Registry *prometheus.Registry
+	// Logf writes a log line for a change of state; nil for none.
+	Logf func(format string, args ...any)
+	// Folder is the data folder; nil opens Settings.Data.
+	Folder *crstore.Folder
+	// Tick is the unit of election timeouts and heartbeats; 0 means the
+	// default.
+	Tick time.Duration
+	// Every is how many entries are applied between snapshots; 0 means the
+	// default.
+	Every uint64
+
+	node      *crquorum.Node
+	core      *Core
+	life      context.Context
+	calls     chan func()
+	proposals chan proposal
+	inbox     chan Batch
+	waiting   map[uint64]waiter
+	links     map[linkKey]*link
+	// learnt maps instances to the host:port that their last batch named.
+	learnt map[uint64]string
+	// ticked is the time of the node's clock.
+	ticked  time.Time
+	shown   atomic.Pointer[shown]
+	metrics metrics
+	group   sync.WaitGroup
 }
 
 // Do runs f in the replica's goroutine and waits for it.
 func (r *Replica) Do(f func()) error {
 	done := make(chan struct{})
 	select {
-	case r.calls <- func() { f(); close(done) }:
+	case r.calls <- func() { defer close(done); f() }:
 		<-done
 		return nil
 	case <-r.life.Done():
@@ -104,29 +106,16 @@
 	}
 }
 
-// Propose appends data to the log and returns what Apply returned once it is
-// committed. Its errors are ErrStopped, ErrNoQuorum and *NotLeaderError.
-func (r *Replica) Propose(_ context.Context, data []byte) (any, error) {
-	var value any
-	err := r.Do(func() {
-		r.index++
-		value = r.Apply(r.index, data)
-	})
-	return value, err
-}
-
-// Status returns what the replica knows of itself.
-func (r *Replica) Status() Status { return r.status() }
-
 // Routes serves the calls of the other instances, under /quorum/.
-func (r *Replica) Routes() http.Handler { return http.NotFoundHandler() }
+func (r *Replica) Routes() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+stepPath, r.serveStep)
+	return mux
+}
 
-// status describes an instance that is alone.
-func (r *Replica) status() Status {
-	id := r.Settings.ID
-	address := r.Settings.Members[id]
-	return Status{
-		ID: id, Term: 1, Leader: id, Address: address, Leading: true, Fresh: true,
-		Commit: r.index, Voters: r.Settings.Members,
+// logf writes a log line if there is a log.
+func (r *Replica) logf(format string, args ...any) {
+	if r.Logf != nil {
+		r.Logf(format, args...)
 	}
 }
--- /dev/null
+++ b/internal/crreplica/replica_test.go
@@ -0,0 +1,302 @@
+package crreplica_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"go.uber.org/goleak"
+
+	"cardamomring.dev/internal/crnet"
+	"cardamomring.dev/internal/crreplica"
+	"cardamomring.dev/pkg/crdoc"
+)
+
+// instance is a replica of a counter that sums what is proposed.
+type instance struct {
+	*crreplica.Replica
+	id     uint64
+	sum    int
+	server *crnet.Server
+	routes atomic.Pointer[http.Handler]
+	stop   context.CancelFunc
+	done   chan error
+}
+
+// group is a set of instances over loopback.
+type group struct {
+	tb      testing.TB
+	client  *crnet.Client
+	members map[uint64]string
+	all     map[uint64]*instance
+}
+
+// initial is how many instances found the group.
+const initial = 3
+
+// newGroup starts the listeners of all instances, the initial ones first.
+func newGroup(tb testing.TB, all int) *group {
+	tb.Helper()
+	g := &group{tb: tb, client: &crnet.Client{}, members: map[uint64]string{}, all: map[uint64]*instance{}}
+	g.client.Open()
+	for id := uint64(1); id <= uint64(all); id++ {
+		in := &instance{id: id}
+		in.server = &crnet.Server{Addr: "127.0.0.1:0", Handler: http.HandlerFunc(in.serve)}
+		g.check(in.server.Start())
+		g.all[id] = in
+		if id <= initial {
+			g.members[id] = in.server.Bound()
+		}
+	}
+	return g
+}
+
+func (in *instance) serve(w http.ResponseWriter, r *http.Request) {
+	if h := in.routes.Load(); h != nil {
+		(*h).ServeHTTP(w, r)
+		return
+	}
+	http.Error(w, "down", http.StatusServiceUnavailable)
+}
+
+func (g *group) check(err error) {
+	g.tb.Helper()
+	if err != nil {
+		g.tb.Fatal(err)
+	}
+}
+
+// start runs an instance on a data folder.
+func (g *group) start(id uint64, dir string) {
+	in := g.all[id]
+	in.sum = 0
+	in.Replica = &crreplica.Replica{
+		Settings: &crdoc.Replica{ID: id, Data: dir, Members: g.members}, Client: g.client,
+		Tick: 10 * time.Millisecond, Every: 50,
+		Apply: func(_ uint64, data []byte) any {
+			n, _ := strconv.Atoi(string(data))
+			in.sum += n
+			return in.sum
+		},
+		Snapshot: func() []byte { return []byte(strconv.Itoa(in.sum)) },
+		Restore:  func(data []byte) (err error) { in.sum, err = strconv.Atoi(string(data)); return err },
+		Changed:  func(crreplica.Status) {},
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	in.stop, in.done = cancel, make(chan error, 1)
+	g.check(in.Open(ctx))
+	handler := in.Routes()
+	in.routes.Store(&handler)
+	go func() { in.done <- in.Run() }()
+}
+
+func (g *group) halt(id uint64) {
+	g.tb.Helper()
+	in := g.all[id]
+	in.routes.Store(nil)
+	in.stop()
+	g.check(<-in.done)
+	in.done = nil
+}
+
+func (g *group) close() {
+	for id, in := range g.all {
+		if in.done != nil {
+			g.halt(id)
+		}
+		g.check(in.server.Close())
+	}
+	g.client.Close()
+}
+
+// propose adds n through whichever instance leads.
+func (g *group) propose(n int) int {
+	g.tb.Helper()
+	for {
+		for _, in := range g.all {
+			if in.done == nil || !in.Status().Leading {
+				continue
+			}
+			value, err := in.Propose(context.Background(), []byte(strconv.Itoa(n)))
+			if sum, ok := value.(int); ok && err == nil {
+				return sum
+			}
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// wait polls until an instance satisfies a condition.
+func (g *group) wait(id uint64, ok func(in *instance) bool) {
+	g.tb.Helper()
+	for in := g.all[id]; ; time.Sleep(time.Millisecond) {
+		good := false
+		g.check(in.Do(func() { good = ok(in) }))
+		if good {
+			return
+		}
+	}
+}
+
+func (g *group) leader() *instance {
+	for {
+		for _, in := range g.all {
+			if in.done != nil && in.Status().Leading {
+				return in
+			}
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// A group of three counts on while each instance in turn is stopped, loses
+// its disk, and comes back.
+func TestReplicaLostDisks(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	g := newGroup(t, 3)
+	defer g.close()
+	for id := range g.members {
+		g.start(id, t.TempDir())
+	}
+	total := 0
+	for range 3 {
+		for id := range g.members {
+			for range 20 {
+				total++
+				if got := g.propose(1); got != total {
+					t.Fatalf("sum %d, want %d", got, total)
+				}
+			}
+			g.halt(id)
+			total++
+			if got := g.propose(1); got != total {
+				t.Fatalf("sum %d without instance %d, want %d", got, id, total)
+			}
+			g.start(id, t.TempDir())
+			g.wait(id, func(in *instance) bool {
+				s := in.Status()
+				return s.Fresh && len(s.Voters) == 3 && in.sum == total
+			})
+		}
+	}
+}
+
+// Every instance of a stopped group comes back with what was accepted.
+func TestReplicaRestart(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	g := newGroup(t, 3)
+	defer g.close()
+	dirs := map[uint64]string{}
+	for id := range g.members {
+		dirs[id] = t.TempDir()
+		g.start(id, dirs[id])
+	}
+	for n := range 130 {
+		if got := g.propose(1); got != n+1 {
+			t.Fatalf("sum %d, want %d", got, n+1)
+		}
+	}
+	for id := range g.members {
+		g.halt(id)
+	}
+	for id, dir := range dirs {
+		g.start(id, dir)
+	}
+	if got := g.propose(1); got != 131 {
+		t.Fatalf("sum %d after the restart, want 131", got)
+	}
+}
+
+// An instance is replaced by command: a learner is added, promoted, and the
+// old one removed.
+func TestReplicaReplace(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	g := newGroup(t, 4)
+	defer g.close()
+	for id := range g.members {
+		g.start(id, t.TempDir())
+	}
+	total := g.propose(5)
+	g.start(4, t.TempDir())
+	ctx := context.Background()
+	change := func(f func(r *crreplica.Replica) error) {
+		for f(g.leader().Replica) != nil {
+			time.Sleep(time.Millisecond)
+		}
+	}
+	addr := g.all[4].server.Bound()
+	change(func(r *crreplica.Replica) error { return r.AddLearner(ctx, 4, addr) })
+	change(func(r *crreplica.Replica) error { return r.Promote(ctx, 4) })
+	g.wait(4, func(in *instance) bool { return len(in.Status().Voters) == 4 && in.sum == total })
+	change(func(r *crreplica.Replica) error { return r.Remove(ctx, 1) })
+	g.halt(1)
+	total += 2
+	if got := g.propose(2); got != total {
+		t.Fatalf("sum %d, want %d", got, total)
+	}
+	g.wait(4, func(in *instance) bool { return in.sum == total })
+	want := map[uint64]string{2: g.members[2], 3: g.members[3], 4: addr}
+	if d := cmp.Diff(want, g.leader().Status().Voters); d != "" {
+		t.Error(d)
+	}
+}
+
+// A follower refuses a proposal and names the leader.
+func TestReplicaFollowerRefuses(t *testing.T) {
+	g := newGroup(t, 3)
+	defer g.close()
+	for id := range g.members {
+		g.start(id, t.TempDir())
+	}
+	leader := g.leader().id
+	for id, in := range g.all {
+		if id == leader {
+			continue
+		}
+		g.wait(id, func(in *instance) bool { return in.Status().Fresh })
+		_, err := in.Propose(context.Background(), []byte("1"))
+		var refused *crreplica.NotLeaderError
+		if !errors.As(err, &refused) || refused.Leader != g.members[leader] {
+			t.Errorf("instance %d: %v, want the address of instance %d", id, err, leader)
+		}
+	}
+}
+
+// BenchmarkPropose measures commits a second of three instances by the number
+// of concurrent proposers, and how many entries share a sync.
+func BenchmarkPropose(b *testing.B) {
+	for _, proposers := range []int{1, 16, 256} {
+		b.Run(fmt.Sprint(proposers), func(b *testing.B) {
+			g := newGroup(b, 3)
+			defer g.close()
+			for id := range g.members {
+				g.start(id, b.TempDir())
+			}
+			g.propose(0)
+			r := g.leader()
+			b.ResetTimer()
+			work := make(chan struct{}, proposers)
+			var group sync.WaitGroup
+			for range proposers {
+				group.Go(func() {
+					for range work {
+						_, _ = r.Propose(context.Background(), []byte("1"))
+					}
+				})
+			}
+			for range b.N {
+				work <- struct{}{}
+			}
+			close(work)
+			group.Wait()
+			b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "commits/s")
+		})
+	}
+}
