Admin listener, keys, help of each verb

Each role serves /metrics (with the Go runtime's), /healthz and /readyz on its admin address; /readyz says what is missing: no view, no quorum, leaving. The profiler is there only with "profile": true. keys makes an authority, certificates and secrets, files 0600, and overwrites nothing.

--- a/cmd/cardamomring/args.go
+++ b/cmd/cardamomring/args.go
@@ -35,6 +35,7 @@
 	Control  *roleArgs    `arg:"subcommand:control" help:"run a control instance"`
 	Backend  *backendArgs `arg:"subcommand:backend" help:"run a fake backend server for trials"`
 	Check    *checkArgs   `arg:"subcommand:check" help:"check service documents and settings files, and start nothing"`
+	Keys     *keysArgs    `arg:"subcommand:keys" help:"make certificates and secrets"`
 	Version  *versionArgs `arg:"subcommand:version" help:"print the version"`
 }
 
@@ -82,6 +83,8 @@
 		return runBackend(ctx, a.Backend, errOut)
 	case a.Check != nil:
 		return runCheck(a.Check, out, errOut)
+	case a.Keys != nil:
+		return runKeys(a.Keys, errOut)
 	default:
 		fmt.Fprintf(out, "cardamomring %s\n", version)
 		return exitOK
--- /dev/null
+++ b/internal/crobs/admin_test.go
@@ -0,0 +1,78 @@
+package crobs_test
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"go.uber.org/goleak"
+
+	"cardamomring.dev/internal/crobs"
+	"cardamomring.dev/pkg/crdoc"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+func TestAdminSaysWhenTheProcessCanServe(t *testing.T) {
+	var view atomic.Bool
+	admin := &crobs.Admin{Addr: "127.0.0.1:0", Registry: crobs.NewRegistry(), Ready: func() error {
+		if !view.Load() {
+			return errors.New("no view yet")
+		}
+		return nil
+	}}
+	if err := admin.Start(); err != nil {
+		t.Fatal(err)
+	}
+	got := []string{get(t, admin, "/healthz"), get(t, admin, "/readyz"), get(t, admin, "/debug/pprof/")}
+	view.Store(true)
+	got = append(got, get(t, admin, "/readyz"))
+	want := []string{"200 ok", "503 no view yet", "404 404 page not found", "200 ready"}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("answers (-want +got):\n%s", diff)
+	}
+	if metrics := get(t, admin, "/metrics"); !strings.Contains(metrics, "go_goroutines") {
+		t.Errorf("no metrics of the runtime in:\n%s", metrics)
+	}
+	if err := admin.Stop(context.Background()); err != nil {
+		t.Error(err)
+	}
+}
+
+// get returns status and body of a page.
+func get(t *testing.T, admin *crobs.Admin, path string) string {
+	t.Helper()
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	resp, err := client.Get("http://" + admin.Bound() + path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return resp.Status[:4] + strings.TrimSpace(string(body))
+}
+
+func TestLogKeepsToLevelAndFormat(t *testing.T) {
+	var out bytes.Buffer
+	logger, err := crobs.NewLog(crdoc.Log{Level: "warn", Format: crdoc.FormatJSON}, &out)
+	if err != nil {
+		t.Fatal(err)
+	}
+	logger.Info("not shown")
+	logger.Warn("shown")
+	if text := out.String(); strings.Contains(text, "not shown") || !strings.Contains(text, `"message":"shown"`) {
+		t.Errorf("log is %s", text)
+	}
+	if _, err := crobs.NewLog(crdoc.Log{Level: "loud"}, &out); err == nil {
+		t.Error("an unknown level is taken")
+	}
+}
--- a/pkg/crdoc/settings.go
+++ b/pkg/crdoc/settings.go
@@ -11,6 +11,8 @@
 	Zones []string `json:"zones"`
 	// Admin is the host:port of metrics, /healthz and /readyz.
 	Admin string `json:"admin"`
+	// Profile serves the Go profiler on Admin as well.
+	Profile bool `json:"profile,omitempty"`
 	// Log sets the log's level and format.
 	Log Log `json:"log"`
 	// Control lists the host:port of each control instance.
