Wait for an election to end before a change is refused

Cause: with the real replicated log a control instance has no leader for its first few hundred milliseconds; changes, claims and announcements were answered 503 at once. Seen as failures of TestScripts/thin, TestChangesAnnouncementsAndClaims and TestConcurrentClaimsOfOneKeyGrantOne when the replica was merged under control. Ruled out: a fault of the replica (it elects itself after its election timeout, as it must).

Change: a call waits up to 2 s for a known leader, then answers as before.

--- a/internal/crcontrol/change.go
+++ b/internal/crcontrol/change.go
@@ -45,7 +45,7 @@
 		return
 	}
 	change.Author = author
-	status := c.replica.Status()
+	status := c.awaitLeader(r.Context())
 	switch {
 	case status.Leading:
 		c.writeResult(w, c.change(r.Context(), &change))
--- a/internal/crcontrol/forward.go
+++ b/internal/crcontrol/forward.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"time"
 
 	"cardamomring.dev/internal/crnet"
 	"cardamomring.dev/internal/crreplica"
@@ -19,13 +20,45 @@
 	pathSettles   = "/leader/settles"
 )
 
+const (
+	// leaderWait is how long a call waits for an election to end. It covers
+	// several election timeouts.
+	leaderWait = 2 * time.Second
+	// leaderPoll is how often a waiting call looks for a leader.
+	leaderPoll = 10 * time.Millisecond
+)
+
+// awaitLeader returns the status once a leader is known, or the last status
+// after leaderWait.
+func (c *Control) awaitLeader(ctx context.Context) crreplica.Status {
+	status := c.replica.Status()
+	if status.Leading || status.Address != "" {
+		return status
+	}
+	ctx, cancel := context.WithTimeout(ctx, leaderWait)
+	defer cancel()
+	tick := time.NewTicker(leaderPoll)
+	defer tick.Stop()
+	for !status.Leading && status.Address == "" {
+		select {
+		case <-tick.C:
+			status = c.replica.Status()
+		case <-c.life.Done():
+			return status
+		case <-ctx.Done():
+			return status
+		}
+	}
+	return status
+}
+
 // carryOut runs items here when this instance leads, and otherwise hands
 // them to the leader once.
 func carryOut[T, R any](
 	ctx context.Context, c *Control, path string, items []T,
 	lead func(context.Context, []T) ([]R, error),
 ) ([]R, error) {
-	status := c.replica.Status()
+	status := c.awaitLeader(ctx)
 	if status.Leading {
 		return lead(ctx, items)
 	}
