Callers' client over HTTP/3, and the verbs call and fabric

A try ends as done, notrun or unknown. Not run is claimed only without a connection, on H3_REQUEST_REJECTED or CONNECTION_REFUSED from the other side, or when the service says so. Unknown is sent again only under its key or when repeatable; a refusal after an unknown try leaves the outcome unknown.

--- a/cmd/cardamomring/args.go
+++ b/cmd/cardamomring/args.go
@@ -34,7 +34,9 @@
 	Agent    *roleArgs    `arg:"subcommand:agent" help:"run the agent of a backend server"`
 	Control  *roleArgs    `arg:"subcommand:control" help:"run a control instance"`
 	Backend  *backendArgs `arg:"subcommand:backend" help:"run a fake backend server for trials"`
+	Fabric   *fabricArgs  `arg:"subcommand:fabric" help:"run a fake fabric that sprays datagrams over balancers, for trials"`
 	Check    *checkArgs   `arg:"subcommand:check" help:"check service documents and settings files, and start nothing"`
+	Call     *callArgs    `arg:"subcommand:call" help:"send requests to a service"`
 	Keys     *keysArgs    `arg:"subcommand:keys" help:"make certificates and secrets"`
 	Version  *versionArgs `arg:"subcommand:version" help:"print the version"`
 }
@@ -81,8 +83,12 @@
 		return runRole(ctx, crdoc.RoleControl, a.Control.Config, errOut)
 	case a.Backend != nil:
 		return runBackend(ctx, a.Backend, errOut)
+	case a.Fabric != nil:
+		return runFabric(ctx, a.Fabric, errOut)
 	case a.Check != nil:
 		return runCheck(a.Check, out, errOut)
+	case a.Call != nil:
+		return runCall(ctx, a.Call, out, errOut)
 	case a.Keys != nil:
 		return runKeys(a.Keys, errOut)
 	default:
--- /dev/null
+++ b/pkg/crcall/client_test.go
@@ -0,0 +1,177 @@
+package crcall_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"go.uber.org/goleak"
+
+	"cardamomring.dev/pkg/crcall"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// step is one answer of a scripted service.
+type step int
+
+const (
+	done step = iota
+	refuse
+	reject
+	unknown
+	cut
+	gateway
+)
+
+// service answers each request with the next step and notes the keys.
+type service struct {
+	mu    sync.Mutex
+	steps []step
+	keys  []string
+}
+
+// ServeHTTP carries out the next step.
+func (s *service) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	next := s.steps[0]
+	s.steps = s.steps[1:]
+	s.keys = append(s.keys, r.Header.Get("Idempotency-Key"))
+	s.mu.Unlock()
+	switch next {
+	case done:
+		w.Header().Set("Cr-Outcome", "done")
+		fmt.Fprint(w, "answer")
+	case refuse:
+		problem(w, http.StatusServiceUnavailable, "notrun", "room")
+	case reject:
+		problem(w, http.StatusNotFound, "notrun", "class")
+	case unknown:
+		problem(w, http.StatusGatewayTimeout, "unknown", "timeout")
+	case gateway:
+		w.WriteHeader(http.StatusServiceUnavailable)
+	case cut:
+		conn, _, err := http.NewResponseController(w).Hijack()
+		if err == nil {
+			_ = conn.Close()
+		}
+	}
+}
+
+// seen returns the keys that have come, in order.
+func (s *service) seen() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.keys)
+}
+
+// problem writes a refusal.
+func problem(w http.ResponseWriter, status int, outcome, reason string) {
+	w.Header().Set("Content-Type", "application/problem+json")
+	w.Header().Set("Cr-Outcome", outcome)
+	w.Header().Set("Retry-After", "1")
+	w.WriteHeader(status)
+	fmt.Fprintf(w, `{"outcome": %q, "reason": %q}`, outcome, reason)
+}
+
+// result is what a caller sees of an answer.
+type result struct {
+	Outcome string
+	Reason  string
+	Tries   int
+	Keys    []string
+}
+
+func TestOutcomes(t *testing.T) {
+	keyed := crcall.Request{Method: http.MethodPost, Key: "k1"}
+	bare := crcall.Request{Method: http.MethodPost}
+	lookup := crcall.Request{Method: http.MethodGet, Repeat: true}
+	for name, c := range map[string]struct {
+		req   crcall.Request
+		steps []step
+		want  result
+	}{
+		"done":                         {bare, []step{done}, result{"done", "", 1, []string{""}}},
+		"a refusal is tried again":     {bare, []step{refuse, refuse, done}, result{"done", "", 3, []string{"", "", ""}}},
+		"a wrong request is not":       {bare, []step{reject}, result{"notrun", "class", 1, []string{""}}},
+		"unknown without a key":        {bare, []step{unknown}, result{"unknown", "timeout", 1, []string{""}}},
+		"a cut without a key":          {bare, []step{cut}, result{"unknown", "EOF", 1, []string{""}}},
+		"unknown with a key":           {keyed, []step{unknown, done}, result{"done", "", 2, []string{"k1", "k1"}}},
+		"a repeatable lookup":          {lookup, []step{gateway, done}, result{"done", "", 2, []string{"", ""}}},
+		"a gateway's error is unknown": {bare, []step{gateway}, result{"unknown", "503 Service Unavailable", 1, []string{""}}},
+		"a refusal after a doubt":      {keyed, []step{unknown, reject}, result{"unknown", "timeout", 2, []string{"k1", "k1"}}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := &service{steps: c.steps}
+			server := httptest.NewServer(s)
+			defer server.Close()
+			c.req.URL = server.URL
+			answer := send(t, &c.req)
+			got := result{answer.Outcome.String(), answer.Reason, answer.Tries, s.seen()}
+			if diff := cmp.Diff(c.want, got); diff != "" {
+				t.Errorf("answer (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+func TestADeadlineEndsTheTries(t *testing.T) {
+	s := &service{steps: []step{refuse, refuse, refuse}}
+	server := httptest.NewServer(s)
+	defer server.Close()
+	ctx, cancel := context.WithCancel(context.Background())
+	client := &crcall.Client{Plain: true, Jitter: func() float64 { return 0 }}
+	var waits []time.Duration
+	client.Sleep = func(_ context.Context, d time.Duration) {
+		if waits = append(waits, d); len(waits) == 2 {
+			cancel()
+		}
+	}
+	client.Open()
+	answer := client.Do(ctx, &crcall.Request{Method: http.MethodPost, URL: server.URL})
+	if err := client.Close(); err != nil {
+		t.Error(err)
+	}
+	if answer.Outcome != crcall.OutcomeNotrun || answer.Tries != 2 {
+		t.Errorf("answer %+v, want notrun after 2 tries", answer)
+	}
+	if diff := cmp.Diff([]time.Duration{time.Second, time.Second}, waits); diff != "" {
+		t.Errorf("waits, at least Retry-After (-want +got):\n%s", diff)
+	}
+}
+
+func TestNothingIsSentWithoutAConnection(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	url := "http://" + listener.Addr().String()
+	_ = listener.Close()
+	ctx, cancel := context.WithCancel(context.Background())
+	client := &crcall.Client{Plain: true, Sleep: func(context.Context, time.Duration) { cancel() }}
+	client.Open()
+	answer := client.Do(ctx, &crcall.Request{Method: http.MethodPost, URL: url})
+	_ = client.Close()
+	if answer.Outcome != crcall.OutcomeNotrun {
+		t.Errorf("outcome %s (%s), want notrun", answer.Outcome, answer.Reason)
+	}
+}
+
+// send sends one request and waits no time between tries.
+func send(t *testing.T, req *crcall.Request) crcall.Answer {
+	t.Helper()
+	client := &crcall.Client{Plain: true, Sleep: func(context.Context, time.Duration) {}}
+	client.Open()
+	answer := client.Do(context.Background(), req)
+	if err := client.Close(); err != nil {
+		t.Error(err)
+	}
+	return answer
+}
