--- a/internal/cragent/flows.go
+++ b/internal/cragent/flows.go
@@ -93,6 +93,7 @@
 
 // serveFlow answers a request of a caller on one of the agent's flows.
 func (a *Agent) serveFlow(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set(crwire.HeaderAgent, a.member.Name)
 	req, err := crrun.FromCaller(r, a.member.Service, rand.Text())
 	if err != nil {
 		crrun.Reject(http.StatusRequestEntityTooLarge, "body").Write(w)
--- /dev/null
+++ b/internal/crtrial/flow.go
@@ -0,0 +1,105 @@
+package crtrial
+
+import (
+	"bytes"
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"path/filepath"
+	"sync/atomic"
+	"time"
+
+	"github.com/quic-go/quic-go"
+	"github.com/quic-go/quic-go/http3"
+
+	"cardamomring.dev/internal/crwire"
+)
+
+// Flow is one caller with one long HTTP/3 connection, which it opens again
+// only after it was closed.
+type Flow struct {
+	// Opened counts the connections: 1 for a flow that lived throughout.
+	Opened atomic.Int64
+
+	base      string
+	transport *http3.Transport
+}
+
+// Request is one request of a caller.
+type Request struct {
+	Method, Path, Key string
+	Body              []byte
+}
+
+// Answer is what a caller knows afterwards.
+type Answer struct {
+	Status  int
+	Outcome crwire.Outcome
+	// Agent is the agent that holds the flow, empty when nothing came back.
+	Agent string
+	// Broken says that the connection failed under the request.
+	Broken bool
+	// Took is the time from the request to its whole answer.
+	Took time.Duration
+	Body []byte
+	// Err is the transport's error of a broken request.
+	Err error
+}
+
+// NewFlow returns a caller of a service. It connects at its first request.
+func (d *Deployment) NewFlow(service string) (*Flow, error) {
+	pool := x509.NewCertPool()
+	data, err := os.ReadFile(filepath.Join(d.Dir, "ca.pem"))
+	if err != nil {
+		return nil, fmt.Errorf("read the authority: %w", err)
+	}
+	pool.AppendCertsFromPEM(data)
+	f := &Flow{base: "https://" + d.Address(service)}
+	f.transport = &http3.Transport{
+		TLSClientConfig: &tls.Config{RootCAs: pool, MinVersion: tls.VersionTLS13},
+		Dial: func(ctx context.Context, addr string, conf *tls.Config, quicConf *quic.Config) (*quic.Conn, error) {
+			f.Opened.Add(1)
+			return quic.DialAddrEarly(ctx, addr, conf, quicConf)
+		},
+	}
+	return f, nil
+}
+
+// Do sends one request and reads its whole answer.
+func (f *Flow) Do(ctx context.Context, req Request) Answer {
+	started := time.Now()
+	answer := f.do(ctx, req)
+	answer.Took = time.Since(started)
+	return answer
+}
+
+// do sends one request.
+func (f *Flow) do(ctx context.Context, req Request) Answer {
+	r, err := http.NewRequestWithContext(ctx, req.Method, f.base+req.Path, bytes.NewReader(req.Body))
+	if err != nil {
+		return Answer{Err: err}
+	}
+	if req.Key != "" {
+		r.Header.Set(crwire.HeaderKey, req.Key)
+	}
+	resp, err := f.transport.RoundTrip(r)
+	if err != nil {
+		return Answer{Broken: true, Err: err}
+	}
+	defer resp.Body.Close()
+	answer := Answer{Status: resp.StatusCode, Agent: resp.Header.Get(crwire.HeaderAgent)}
+	if answer.Body, err = io.ReadAll(resp.Body); err != nil {
+		return Answer{Broken: true, Err: err}
+	}
+	if err := answer.Outcome.UnmarshalText([]byte(resp.Header.Get(crwire.HeaderOutcome))); err != nil {
+		return Answer{Broken: true, Err: err}
+	}
+	return answer
+}
+
+// Close ends the connection.
+func (f *Flow) Close() error { return f.transport.Close() }
--- a/internal/crwire/run.go
+++ b/internal/crwire/run.go
@@ -19,6 +19,8 @@
 	HeaderRevision = "Cr-Revision"
 	// HeaderReason says why a request was refused.
 	HeaderReason = "Cr-Reason"
+	// HeaderAgent names the agent that holds the caller's flow.
+	HeaderAgent = "Cr-Agent"
 	// HeaderKey is the caller's idempotency key.
 	HeaderKey = "Idempotency-Key"
 )
