--- a/internal/cragent/flows.go
+++ b/internal/cragent/flows.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
 
 	"cardamomring.dev/internal/crroute"
 	"cardamomring.dev/internal/crrun"
@@ -63,18 +64,27 @@
 }
 
 // drainFlows waits for callers' flows to end until the service's grace is
-// over; new flows are passed on meanwhile.
+// over; new flows are passed on meanwhile. In an availability zone that is
+// out it doesn't wait: nothing reaches those flows any more.
 func (a *Agent) drainFlows() error {
 	if a.flows == nil {
 		return nil
 	}
-	grace := stopGrace
-	if doc := a.view.Load().Services[a.member.Service]; doc != nil && doc.Grace > 0 {
+	grace, view := stopGrace, a.view.Load()
+	doc := view.Services[a.member.Service]
+	switch {
+	case slices.Contains(view.Out, a.member.Zone):
+		grace = 0
+	case doc != nil && doc.Grace > 0:
 		grace = doc.Grace.D()
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), grace)
 	defer cancel()
-	return a.flows.server.stop(ctx)
+	remained, err := a.flows.server.stop(ctx)
+	if remained {
+		a.Logf("closed callers' connections that were open after %s", grace)
+	}
+	return err
 }
 
 // closeFlows ends the socket and the loops of the flows.
--- a/internal/cragent/quic.go
+++ b/internal/cragent/quic.go
@@ -124,9 +124,13 @@
 	s.done <- err
 }
 
-// stop tells callers to open no further requests, waits for those under way
-// until ctx ends, and closes what remains.
-func (s *flowServer) stop(ctx context.Context) error {
-	err := s.server.Shutdown(ctx)
-	return errors.Join(err, s.listener.Close(), s.transport.Close(), <-s.done)
+// stop tells callers to open no further requests, waits for their
+// connections to end until ctx ends, and closes what remains. It reports
+// whether any remained.
+func (s *flowServer) stop(ctx context.Context) (remained bool, err error) {
+	err = s.server.Shutdown(ctx)
+	if errors.Is(err, context.DeadlineExceeded) {
+		remained, err = true, nil
+	}
+	return remained, errors.Join(err, s.listener.Close(), s.transport.Close(), <-s.done)
 }
--- /dev/null
+++ b/internal/crbalancer/zone_test.go
@@ -0,0 +1,58 @@
+package crbalancer_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"cardamomring.dev/internal/crfake"
+	"cardamomring.dev/internal/crwire"
+)
+
+// zonePromise is how long after a zone was taken out it may get packets.
+const zonePromise = 3 * time.Second
+
+// out takes availability zones out, and all others in.
+func (c *cluster) out(zones ...string) {
+	c.control.change(crwire.Delta{Out: zones, Zoned: true})
+}
+
+// TestZoneOut takes an availability zone out under load and brings it back.
+func TestZoneOut(t *testing.T) {
+	const flows = 12
+	c := newCluster(t, &crfake.Fabric{Seed: 3, Delay: 2 * time.Millisecond})
+	for i, zone := range zones {
+		c.startBalancer(fmt.Sprint("balancer", i), loopback)
+		c.startAgent(fmt.Sprint("agent", i), zone, 1)
+	}
+	c.spray()
+	l := startLoad(c, flows, 20_000, true)
+	left := c.nodes["agent1"]
+	lost := left.held(t)
+	c.out(zones[1])
+	time.Sleep(zonePromise)
+	before := left.received(t)
+	l.progress("with a zone out")
+	l.progress("with a zone out, again")
+	late := left.received(t) - before
+	whole := l.whole()
+	c.out()
+	l.progress("with the zone in again")
+	back := startLoad(c, flows, 2000, false)
+	if left.held(t) == lost {
+		t.Error("the zone that is in again gets no flows")
+	}
+	back.end()
+	_, failed, dials, cut := l.end()
+	t.Logf("flows %d, in the zone %d; answers while it was out %d", flows, lost, whole)
+	t.Logf("failed requests %d, connections opened %d, cut %d", failed, dials, cut)
+	t.Logf("packets to the zone later than %s: %v", zonePromise, late)
+	if diff := cmp.Diff(0.0, late); diff != "" {
+		t.Errorf("packets to the zone later than %s: %s", zonePromise, diff)
+	}
+	if failed > lost || cut > lost {
+		t.Errorf("more flows broke than ended in the zone: %d requests, %d connections, flows %d", failed, cut, lost)
+	}
+}
--- a/internal/crflow/flows.go
+++ b/internal/crflow/flows.go
@@ -39,7 +39,8 @@
 	// Known reports whether another agent can be asked.
 	Known func(num uint32) bool
 
-	mu sync.Mutex
+	mu      sync.Mutex
+	returns returns
 }
 
 // Decide says what to do with a caller's datagram; first says that it may
@@ -49,6 +50,7 @@
 func (f *Flows) Decide(e *crwire.Envelope, first bool, now time.Time) Action {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.returns.note(e.Return, now)
 	known, ok := f.Table.Get(e.Caller, now)
 	switch {
 	case e.Owned || ok && known.Passed == 0:
@@ -116,12 +118,16 @@
 	return slices.Contains(e.Chain[:e.Position], e.Chain[e.Position])
 }
 
-// Return returns the way back to a caller.
+// Return returns the way back to a caller: the balancer that forwarded its
+// last datagram, or another one when that balancer has fallen silent.
 func (f *Flows) Return(caller netip.AddrPort, now time.Time) (netip.AddrPort, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	flow, ok := f.Table.Get(caller, now)
-	return flow.Return, ok && flow.Passed == 0
+	if !ok || flow.Passed != 0 {
+		return netip.AddrPort{}, false
+	}
+	return f.returns.pick(flow.Return, now), true
 }
 
 // Len returns the number of confirmed flows and of those on probation.
--- a/internal/crroute/router.go
+++ b/internal/crroute/router.go
@@ -187,18 +187,17 @@
 	return p.chain(svc, FlowKey(caller, svc.tag), out)
 }
 
-// owner routes a datagram that names its agent. When the agent is gone, any
-// other agent answers with the stateless reset that they share.
+// owner routes a datagram that names its agent. When the agent is gone or its
+// availability zone is out, any other agent answers with the stateless reset
+// that they share, so that the caller opens a new connection at once.
 func (p *Plan) owner(svc *service, id ID, caller netip.AddrPort, out *Route) Reason {
 	out.Owned = true
 	num := id.Agent
 	t, ok := p.targets[num]
 	switch {
-	case ok && t.Out:
-		return ReasonZone
 	case !ok && num > p.last:
 		return ReasonUnknown
-	case !ok:
+	case !ok || t.Out:
 		num = svc.table.First(FlowKey(caller, svc.tag))
 		if t, ok = p.targets[num]; !ok {
 			return ReasonEmpty
