--- /dev/null
+++ b/internal/crflow/flows.go
@@ -0,0 +1,132 @@
+package crflow
+
+import (
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"cardamomring.dev/internal/crwire"
+)
+
+// Action is what an agent does with a datagram.
+type Action int
+
+const (
+	// ActionHandle says that the flow is the agent's own.
+	ActionHandle Action = iota
+	// ActionAccept says that the agent has just taken a new flow.
+	ActionAccept
+	// ActionPass says that another agent is asked.
+	ActionPass
+	// ActionRefuse says that no agent takes the new flow.
+	ActionRefuse
+	// ActionStray says that the datagram begins no flow and belongs to none
+	// that is known.
+	ActionStray
+)
+
+// Flows decides about each datagram of one agent. Set the exported fields
+// before use; it is safe for concurrent use.
+type Flows struct {
+	// Table holds the flows, opened.
+	Table *Table
+	// Room reports whether the agent may take one more flow by its own load.
+	Room func() bool
+	// Last reports whether the agent takes a flow that every other candidate
+	// has passed on.
+	Last func() bool
+	// Known reports whether another agent can be asked.
+	Known func(num uint32) bool
+
+	mu sync.Mutex
+}
+
+// Decide says what to do with a caller's datagram; first says that it may
+// begin a flow. On ActionPass the envelope names the next agent as its
+// receiver. Every first packet of an opening flow gets the same decision:
+// the table remembers it.
+func (f *Flows) Decide(e *crwire.Envelope, first bool, now time.Time) Action {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	known, ok := f.Table.Get(e.Caller, now)
+	switch {
+	case e.Owned || ok && known.Passed == 0:
+		f.own(e, known, ok, now)
+		return ActionHandle
+	case ok && !returned(e) && f.Known(known.Passed):
+		return f.pass(e, known.Passed)
+	case first:
+		return f.open(e, now)
+	}
+	next, ok := f.next(e)
+	if !ok {
+		return ActionStray
+	}
+	return f.pass(e, next)
+}
+
+// own records the way back of a flow that is ours.
+func (f *Flows) own(e *crwire.Envelope, known Flow, ok bool, now time.Time) {
+	if !ok || known.Return != e.Return || known.Passed != 0 {
+		f.Table.Put(e.Caller, Flow{Return: e.Return}, now)
+	}
+	if e.Owned {
+		f.Table.Confirm(e.Caller, now)
+	}
+}
+
+// open decides about a flow that this agent doesn't hold.
+func (f *Flows) open(e *crwire.Envelope, now time.Time) Action {
+	next, more := f.next(e)
+	if e.Position >= e.Accept && (f.Room() || !more && f.Last()) {
+		f.Table.Put(e.Caller, Flow{Return: e.Return}, now)
+		return ActionAccept
+	}
+	if !more {
+		return ActionRefuse
+	}
+	f.Table.Put(e.Caller, Flow{Return: e.Return, Passed: next}, now)
+	return f.pass(e, next)
+}
+
+// pass makes an agent the receiver. A chain without a place left has gone
+// round in circles: the flow is then decided anew next time.
+func (f *Flows) pass(e *crwire.Envelope, to uint32) Action {
+	if !e.Pass(to) {
+		f.Table.Remove(e.Caller)
+		return ActionRefuse
+	}
+	return ActionPass
+}
+
+// next returns the next agent of the chain that can be asked.
+func (f *Flows) next(e *crwire.Envelope) (uint32, bool) {
+	for _, num := range e.Chain[e.Position+1 : e.Len] {
+		if f.Known(num) {
+			return num, true
+		}
+	}
+	return 0, false
+}
+
+// returned reports whether the datagram has been at this agent before: those
+// whom it was passed on to have passed it back.
+func returned(e *crwire.Envelope) bool {
+	return slices.Contains(e.Chain[:e.Position], e.Chain[e.Position])
+}
+
+// Return returns the way back to a caller.
+func (f *Flows) Return(caller netip.AddrPort, now time.Time) (netip.AddrPort, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	flow, ok := f.Table.Get(caller, now)
+	return flow.Return, ok && flow.Passed == 0
+}
+
+// Len returns the number of confirmed flows and of those on probation.
+func (f *Flows) Len() (live, probation int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.Table.Len()
+}
