Run calls: never send a request again by themselves

Cause: net/http repeats a request without a body, and one with an idempotency key and no body, when a reused connection breaks; its client follows redirects; and the error is that of the last try, so that a dial that failed on the second try said 'not run' of a request that had run. An answer whose end only the closed connection tells looked whole when cut.

Weighed: r.Close doesn't keep a request off an idle connection. A body that can't be replayed stops the repeat but still meets connections that the server is closing, which gives an unknown outcome without need.

Change: requests that may run only once go on a connection of their own (crnet.Client.DoOnce, new there); calls to agents carry a body that can't be replayed; redirects come back as answers; 'not run' needs a proof that no connection was there (httptrace), a shed, or a deadline that was over before sending; a crossed answer closes its connection.

Proof: the script server counts what arrives. Against the former code TestRequestIsNeverSentTwiceByItself failed in all four cases (sent twice), TestBackendAnswers for a redirect and for an answer without length.

--- a/internal/cragent/run.go
+++ b/internal/cragent/run.go
@@ -41,5 +41,5 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(class.Deadline))
 	defer cancel()
-	return a.caller.Backend(ctx, a.Settings.Agent.Backend, req)
+	return a.caller.Backend(ctx, a.Settings.Agent.Backend, req, !class.Repeat)
 }
--- a/internal/crnet/client.go
+++ b/internal/crnet/client.go
@@ -26,18 +26,29 @@
 	TLS *tls.Config
 
 	http *http.Client
+	// once opens a connection for each request.
+	once *http.Client
 }
 
 // Open makes the client ready; call it once before use.
 func (c *Client) Open() {
-	c.http = &http.Client{Transport: &http.Transport{
+	c.http = &http.Client{CheckRedirect: keepRedirect, Transport: &http.Transport{
 		TLSClientConfig:     c.TLS,
 		MaxIdleConnsPerHost: idlePerHost,
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
 	}}
+	c.once = &http.Client{CheckRedirect: keepRedirect, Transport: &http.Transport{
+		TLSClientConfig:    c.TLS,
+		DisableKeepAlives:  true,
+		DisableCompression: true,
+	}}
 }
 
+// keepRedirect returns a redirect as the answer; following one would send the
+// request again.
+func keepRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+
 // Close drops the idle connections.
 func (c *Client) Close() { c.http.CloseIdleConnections() }
 
@@ -52,6 +63,10 @@
 // Do sends a request.
 func (c *Client) Do(r *http.Request) (*http.Response, error) { return c.http.Do(r) }
 
+// DoOnce sends a request on a connection of its own. net/http repeats some
+// requests by itself when a reused connection breaks; it never repeats these.
+func (c *Client) DoOnce(r *http.Request) (*http.Response, error) { return c.once.Do(r) }
+
 // StatusError is an answer other than 200 to a JSON call.
 type StatusError struct {
 	Status int
--- a/internal/crrun/caller.go
+++ b/internal/crrun/caller.go
@@ -6,9 +6,10 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
+	"net/http/httptrace"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"cardamomring.dev/internal/crnet"
@@ -23,27 +24,30 @@
 	Client *crnet.Client
 }
 
-// Peer runs a request at an agent. Whatever fails before the request has
-// been sent is not run; what fails later is unknown.
+// Peer runs a request at an agent. What fails before a connection is there
+// is not run; what fails later is unknown.
 func (c *Caller) Peer(ctx context.Context, addr string, req *Request) Answer {
 	r, err := req.peerRequest(ctx, c.Client.URL(addr, req.Target))
 	if err != nil {
-		return Refuse(crwire.OutcomeNotrun, "request")
+		return unsent(err)
 	}
-	resp, err := c.Client.Do(r)
-	if err != nil {
-		return failed(err)
+	r.Body = unreplayable{r.Body}
+	resp, failure := send(c.Client.Do, r)
+	if resp == nil {
+		return failure
 	}
 	defer resp.Body.Close()
-	answer, err := readAnswer(resp)
-	if err != nil {
-		return Refuse(crwire.OutcomeUnknown, "truncated")
-	}
+	// The body of a crossed answer stays unread: that closes its connection,
+	// where the next answer would be crossed too.
 	if resp.Header.Get(crwire.HeaderID) != req.ID {
-		return Refuse(crwire.OutcomeUnknown, "crossed")
+		return Refuse(crwire.OutcomeUnknown, ReasonCrossed)
+	}
+	answer, err := readAnswer(resp, req.Method)
+	if err != nil {
+		return Refuse(crwire.OutcomeUnknown, unread(ctx))
 	}
 	if err := answer.Outcome.UnmarshalText([]byte(resp.Header.Get(crwire.HeaderOutcome))); err != nil {
-		return Refuse(crwire.OutcomeUnknown, "outcome")
+		return Refuse(crwire.OutcomeUnknown, ReasonOutcome)
 	}
 	answer.Reason = resp.Header.Get(crwire.HeaderReason)
 	answer.Load = loadOf(resp.Header)
@@ -51,31 +55,88 @@
 }
 
 // Backend runs a request on a backend server. A 503 with Retry-After is the
-// server shedding load: the request has not run.
-func (c *Caller) Backend(ctx context.Context, addr string, req *Request) Answer {
+// server shedding load: the request has not run. A request that may not run
+// twice goes on a connection of its own: it can't meet an idle connection
+// that the server is closing.
+func (c *Caller) Backend(ctx context.Context, addr string, req *Request, once bool) Answer {
 	r, err := req.plain(ctx, c.Client.URL(addr, req.Target))
 	if err != nil {
-		return Refuse(crwire.OutcomeNotrun, "request")
+		return unsent(err)
 	}
-	resp, err := c.Client.Do(r)
-	if err != nil {
-		return failed(err)
+	do := c.Client.Do
+	if once {
+		do = c.Client.DoOnce
 	}
-	defer resp.Body.Close()
-	answer, err := readAnswer(resp)
-	if err != nil {
-		return Refuse(crwire.OutcomeUnknown, "truncated")
+	resp, failure := send(do, r)
+	if resp == nil {
+		return failure
 	}
+	defer resp.Body.Close()
 	if id := resp.Header.Get(crwire.HeaderID); id != "" && id != req.ID {
-		return Refuse(crwire.OutcomeUnknown, "crossed")
+		return Refuse(crwire.OutcomeUnknown, ReasonCrossed)
+	}
+	answer, err := readAnswer(resp, req.Method)
+	if err != nil {
+		return Refuse(crwire.OutcomeUnknown, unread(ctx))
 	}
 	if resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get("Retry-After") != "" {
-		return Refuse(crwire.OutcomeNotrun, "shed")
+		return Refuse(crwire.OutcomeNotrun, ReasonShed)
 	}
 	answer.Outcome = crwire.OutcomeDone
 	return answer
 }
 
+// unreplayable is a body that net/http doesn't send again: by itself it
+// repeats requests without a body, and those with an idempotency key, when a
+// reused connection breaks, and the error is then that of the second try.
+type unreplayable struct{ io.ReadCloser }
+
+// send sends a request and returns its response, or the answer when there
+// is none. Only a request that never had a connection has not run.
+func send(do func(*http.Request) (*http.Response, error), r *http.Request) (*http.Response, Answer) {
+	var connected atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	ctx := r.Context()
+	resp, err := do(r.WithContext(httptrace.WithClientTrace(ctx, trace)))
+	if err == nil {
+		return resp, Answer{}
+	}
+	outcome := crwire.OutcomeUnknown
+	if !connected.Load() {
+		outcome = crwire.OutcomeNotrun
+	}
+	switch {
+	case errors.Is(err, context.DeadlineExceeded):
+		return nil, Refuse(outcome, ReasonTimeout)
+	case errors.Is(err, context.Canceled):
+		return nil, Refuse(outcome, ReasonCancelled)
+	case outcome == crwire.OutcomeNotrun:
+		return nil, Refuse(outcome, ReasonUnreachable)
+	default:
+		return nil, Refuse(outcome, ReasonBroken)
+	}
+}
+
+// unsent answers for a request that could not be written.
+func unsent(err error) Answer {
+	if errors.Is(err, context.DeadlineExceeded) {
+		return Refuse(crwire.OutcomeNotrun, ReasonTimeout)
+	}
+	return Refuse(crwire.OutcomeNotrun, ReasonRequest)
+}
+
+// unread says why an answer was not read whole.
+func unread(ctx context.Context) string {
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return ReasonTimeout
+	case ctx.Err() != nil:
+		return ReasonCancelled
+	default:
+		return ReasonTruncated
+	}
+}
+
 // plain writes the request with its ID and the time that remains.
 func (req *Request) plain(ctx context.Context, url string) (*http.Request, error) {
 	r, err := http.NewRequestWithContext(ctx, req.Method, url, bytes.NewReader(req.Body))
@@ -86,17 +147,27 @@
 	if r.Header == nil {
 		r.Header = http.Header{}
 	}
-	// No GetBody: net/http must not send a request again by itself.
+	// No GetBody: net/http must not send a body again by itself.
 	r.GetBody = nil
 	r.Header.Set(crwire.HeaderID, req.ID)
-	if deadline, ok := ctx.Deadline(); ok {
-		r.Header.Set(crwire.HeaderDeadline, strconv.FormatInt(time.Until(deadline).Milliseconds(), 10))
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return r, nil
 	}
+	remain := time.Until(deadline).Milliseconds()
+	if remain <= 0 {
+		return nil, context.DeadlineExceeded
+	}
+	r.Header.Set(crwire.HeaderDeadline, strconv.FormatInt(remain, 10))
 	return r, nil
 }
 
-// readAnswer reads a whole answer; a body that ends early is an error.
-func readAnswer(resp *http.Response) (Answer, error) {
+// readAnswer reads a whole answer. A body that ends early is an error, and
+// so is one whose end only the closed connection tells.
+func readAnswer(resp *http.Response, method string) (Answer, error) {
+	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && method != http.MethodHead {
+		return Answer{}, errors.New("the answer has no length")
+	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, AnswerMax+1))
 	if err != nil {
 		return Answer{}, fmt.Errorf("read the answer: %w", err)
@@ -107,18 +178,6 @@
 	return Answer{Status: resp.StatusCode, Header: resp.Header.Clone(), Body: body, Load: -1}, nil
 }
 
-// failed tells a connection that never opened from one that broke later.
-func failed(err error) Answer {
-	var op *net.OpError
-	if errors.As(err, &op) && op.Op == "dial" {
-		return Refuse(crwire.OutcomeNotrun, "unreachable")
-	}
-	if errors.Is(err, context.DeadlineExceeded) {
-		return Refuse(crwire.OutcomeUnknown, "timeout")
-	}
-	return Refuse(crwire.OutcomeUnknown, "broken")
-}
-
 // loadOf returns the load of an answer, -1 when unknown.
 func loadOf(h http.Header) int {
 	n, err := strconv.Atoi(h.Get(crwire.HeaderLoad))
