Tell callers at once when their flow's availability zone is taken out

Cause: a caller that waits for an answer sends nothing. Its agent, in a zone that was taken out, drops what comes in, and balancers dropped what it sent; no datagram of the caller met another agent, which would have reset the connection. The caller waited for its own time-out. Ruled out: loss of the reset (none was sent: no datagram came), a caller's dial (no second connection was opened before the time-out).

Change: 1 s after its zone was taken out an agent closes its callers' connections with an error; until then answers under way may still leave. Balancers pass on answers of agents whose zone is out; towards such agents nothing passes, as before.

--- a/internal/cragent/agent.go
+++ b/internal/cragent/agent.go
@@ -7,6 +7,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -122,6 +123,7 @@
 	a.source.Reset(v)
 	if a.flows != nil {
 		a.flows.datagrams.took(v)
+		a.flows.watch(slices.Contains(v.Out, a.member.Zone))
 	}
 }
 
--- a/internal/cragent/flows.go
+++ b/internal/cragent/flows.go
@@ -8,18 +8,48 @@
 	"net/http"
 	"os"
 	"slices"
+	"time"
 
 	"cardamomring.dev/internal/crroute"
 	"cardamomring.dev/internal/crrun"
 	"cardamomring.dev/internal/crwire"
 )
 
+// zoneGrace is how long flows may still send answers after their availability
+// zone was taken out.
+const zoneGrace = time.Second
+
 // callerFlows is what the agent needs to end callers' flows.
 type callerFlows struct {
 	datagrams *datagrams
 	server    *flowServer
 	cert      *certificate
 	done      chan struct{}
+
+	// ending gives the flows up when the zone stays out; nil while it is
+	// in. Only the feed's goroutine uses it.
+	ending *time.Timer
+	logf   func(format string, args ...any)
+}
+
+// watch gives callers' flows up soon after the agent's availability zone was
+// taken out. A caller that waits for an answer sends nothing, so that only
+// the agent can tell it.
+func (f *callerFlows) watch(out bool) {
+	switch {
+	case out && f.ending == nil:
+		f.ending = time.AfterFunc(zoneGrace, f.giveUp)
+	case !out && f.ending != nil:
+		f.ending.Stop()
+		f.ending = nil
+	}
+}
+
+// giveUp ends every flow.
+func (f *callerFlows) giveUp() {
+	if n := f.server.listener.giveUp(); n > 0 {
+		f.logf("gave up %d flows: the availability zone is out of service", n)
+	}
 }
 
 // openFlows listens for envelopes and serves HTTP/3 on what they carry. It
@@ -49,7 +79,7 @@
 	if err := server.start(d, keys, cert); err != nil {
 		return errors.Join(err, d.socket.Close())
 	}
-	a.flows = &callerFlows{datagrams: d, server: server, cert: cert, done: make(chan struct{})}
+	a.flows = &callerFlows{datagrams: d, server: server, cert: cert, done: make(chan struct{}), logf: a.Logf}
 	a.loops.Go(func() { d.run(a.flows.done) })
 	a.loops.Go(func() { cert.run(a.flows.done) })
 	return nil
--- a/internal/cragent/quic.go
+++ b/internal/cragent/quic.go
@@ -71,7 +71,7 @@
 	handler http.Handler
 
 	transport *quic.Transport
-	listener  *quic.EarlyListener
+	listener  *connections
 	server    *http3.Server
 	done      chan error
 }
@@ -108,7 +108,7 @@
 	if err != nil {
 		return fmt.Errorf("listen for QUIC: %w", err)
 	}
-	s.listener = listener
+	s.listener = newConnections(listener)
 	s.server = &http3.Server{Handler: s.handler}
 	s.done = make(chan error, 1)
 	go s.run()
--- a/internal/crbalancer/cluster_test.go
+++ b/internal/crbalancer/cluster_test.go
@@ -167,9 +167,15 @@
 
 // startAgent starts an agent with its own backend server.
 func (c *cluster) startAgent(name, zone string, weight int) {
+	c.t.Helper()
+	c.startAgentBeside(name, zone, weight, serveBytes)
+}
+
+// startAgentBeside starts an agent with a backend server that answers so.
+func (c *cluster) startAgentBeside(name, zone string, weight int, serve http.HandlerFunc) {
 	c.t.Helper()
 	n := &node{settings: c.settings(name, zone)}
-	n.backend = &crnet.Server{Addr: loopback, Handler: http.HandlerFunc(serveBytes)}
+	n.backend = &crnet.Server{Addr: loopback, Handler: serve}
 	if err := n.backend.Start(); err != nil {
 		c.t.Fatal(err)
 	}
--- a/internal/crbalancer/forwarder.go
+++ b/internal/crbalancer/forwarder.go
@@ -197,10 +197,8 @@
 	if s.env.Kind != crwire.EnvelopeAnswer {
 		return
 	}
-	if t, ok := plan.Target(s.env.Sender); ok && t.Out {
-		f.counters.drop(crroute.ReasonZone)
-		return
-	}
+	// Answers of an agent whose zone is out still pass: its last ones tell
+	// callers that their flows have ended.
 	p := (*f.byName.Load())[string(s.env.Service)]
 	if p == nil {
 		f.counters.drop(crroute.ReasonService)
