Feed: one answer for a burst, shared by all; never stale for who starts

Aim: an accepted configuration is in force everywhere within seconds and never reverts, also at daemons that start beside a stale control instance.

Weighed: keeping an encoded answer for each subscriber was ruled out; at one revision nearly all ask from the one before, so answers are kept by the revision that was asked from, encoded once, and dropped at the next change.

Change: a source answers one who is ahead at once, so that the follower goes to another source; a stale sender answers without waiting; a follower that has no view refuses stale answers, a running one only moves forward by them; hints name a peer that is ahead, the follower pulls from it beside its open poll; back-off doubles with each round over the sources, with jitter, and the first source is drawn at random. Control remembers the revision that each daemon polls from, for status.

--- a/internal/cragent/agent.go
+++ b/internal/cragent/agent.go
@@ -77,6 +77,7 @@
 // start runs the agent's loops until ctx ends.
 func (a *Agent) start(ctx context.Context) {
 	follower := &crfeed.Follower{
+		Name:   a.Settings.Name,
 		Client: a.client, Sources: a.Settings.Control, Took: a.took, Failed: a.failed,
 	}
 	a.loops.Go(func() { follower.Run(ctx) })
--- a/internal/crbalancer/balancer.go
+++ b/internal/crbalancer/balancer.go
@@ -72,6 +72,7 @@
 	}
 	loopCtx, cancel := context.WithCancel(context.Background())
 	follower := &crfeed.Follower{
+		Name:   b.Settings.Name,
 		Client: b.client, Sources: b.Settings.Control, Took: b.took, Failed: b.failed,
 	}
 	b.loops.Go(func() { follower.Run(loopCtx) })
--- a/internal/crcontrol/control.go
+++ b/internal/crcontrol/control.go
@@ -49,6 +49,8 @@
 	client  *crnet.Client
 	source  *crfeed.Source
 	metrics *metrics
+	// followers are the daemons that poll the feed here.
+	followers *followers
 	// state and leases are touched in the replica's goroutine only.
 	state  *crstate.State
 	leases *leases
@@ -100,6 +102,7 @@
 	c.state = crstate.New()
 	c.source = crfeed.NewSource(crfeed.Empty())
 	c.metrics = newMetrics(c.Registry)
+	c.followers = newFollowers()
 	c.leases = newLeases(c.leaseTime())
 	c.client = &crnet.Client{}
 	c.client.Open()
@@ -146,7 +149,8 @@
 // routes returns the instance's HTTP calls.
 func (c *Control) routes() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /feed", c.serveFeed)
+	mux.Handle("GET /feed", c.feed())
+	mux.HandleFunc("GET /status", c.serveStatus)
 	mux.HandleFunc("GET /view", c.serveView)
 	mux.HandleFunc("GET /audit", c.serveAudit)
 	mux.HandleFunc("POST /change", c.serveChange)
@@ -167,13 +171,3 @@
 	}
 	return leaseDefault
 }
-
-// untilStop returns the request's context, ended also by the instance's stop.
-func (c *Control) untilStop(r *http.Request) (context.Context, context.CancelFunc) {
-	ctx, cancel := context.WithCancel(r.Context())
-	unregister := context.AfterFunc(c.life, cancel)
-	return ctx, func() {
-		unregister()
-		cancel()
-	}
-}
--- a/internal/crcontrol/feed.go
+++ b/internal/crcontrol/feed.go
@@ -3,40 +3,28 @@
 import (
 	"net/http"
 	"strconv"
-	"time"
 
+	"cardamomring.dev/internal/crfeed"
 	"cardamomring.dev/internal/crnet"
 	"cardamomring.dev/internal/crwire"
 )
 
 const (
-	// waitMax bounds how long a poll of the feed stays open.
-	waitMax = 30 * time.Second
 	// auditPage is how many audit lines are answered when none is asked.
 	auditPage = 100
 	// auditPageMax bounds the lines of one answer.
 	auditPageMax = 1000
 )
 
-// serveFeed answers GET /feed?after=REV&wait=DURATION.
-func (c *Control) serveFeed(w http.ResponseWriter, r *http.Request) {
-	query := r.URL.Query()
-	after, err := strconv.ParseUint(query.Get("after"), 10, 64)
-	if err != nil {
-		http.Error(w, "after: want a revision", http.StatusBadRequest)
-		return
-	}
-	wait, err := time.ParseDuration(query.Get("wait"))
-	if err != nil {
-		wait = 0
+// feed returns the handler of GET /feed.
+func (c *Control) feed() http.Handler {
+	return &crfeed.Handler{
+		Source:   c.source,
+		Stale:    func() bool { return !c.replica.Status().Fresh },
+		Polled:   c.followers.polled,
+		Answered: c.metrics.countFeed,
+		Stopping: c.life,
 	}
-	ctx, cancel := c.untilStop(r)
-	defer cancel()
-	feed := *c.source.Answer(ctx, after, min(wait, waitMax))
-	// Freshness is asked for last: the process may have stood still.
-	feed.Stale = !c.replica.Status().Fresh
-	c.metrics.countFeed(&feed)
-	crnet.WriteJSON(w, http.StatusOK, feed)
 }
 
 // serveView returns the view in force.
--- a/internal/crcontrol/metrics.go
+++ b/internal/crcontrol/metrics.go
@@ -4,38 +4,39 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"cardamomring.dev/internal/crreplica"
-	"cardamomring.dev/internal/crwire"
 )
 
 // metrics are the role's counters.
 type metrics struct {
-	changes  *prometheus.CounterVec
-	claims   *prometheus.CounterVec
-	feeds    *prometheus.CounterVec
-	renewals prometheus.Counter
-	expired  prometheus.Counter
-	skipped  prometheus.Counter
-	agents   prometheus.Gauge
-	leading  prometheus.Gauge
-	fresh    prometheus.Gauge
-	term     prometheus.Gauge
+	changes   *prometheus.CounterVec
+	claims    *prometheus.CounterVec
+	feeds     *prometheus.CounterVec
+	feedBytes prometheus.Counter
+	renewals  prometheus.Counter
+	expired   prometheus.Counter
+	skipped   prometheus.Counter
+	agents    prometheus.Gauge
+	leading   prometheus.Gauge
+	fresh     prometheus.Gauge
+	term      prometheus.Gauge
 }
 
 // newMetrics registers the metrics.
 func newMetrics(r *prometheus.Registry) *metrics {
 	m := &metrics{
-		changes:  counters("changes_total", "Operators' changes by answer.", "code"),
-		claims:   counters("claims_total", "Claims of keyed requests by verdict.", "verdict"),
-		feeds:    counters("feed_answers_total", "Answers of the feed by kind.", "kind"),
-		renewals: counter("renewals_total", "Announcements of agents that the leader took."),
-		expired:  counter("leases_expired_total", "Agents that did not renew their lease."),
-		skipped:  counter("entries_skipped_total", "Entries of the log that could not be read."),
-		agents:   gauge("agents", "Agents that hold a lease."),
-		leading:  gauge("leading", "1 while this instance leads."),
-		fresh:    gauge("fresh", "1 while this instance has contact with the quorum."),
-		term:     gauge("term", "The current term."),
+		changes:   counters("changes_total", "Operators' changes by answer.", "code"),
+		claims:    counters("claims_total", "Claims of keyed requests by verdict.", "verdict"),
+		feeds:     counters("feed_answers_total", "Answers of the feed by kind.", "kind"),
+		feedBytes: counter("feed_bytes_total", "Bytes of the feed's answers."),
+		renewals:  counter("renewals_total", "Announcements of agents that the leader took."),
+		expired:   counter("leases_expired_total", "Agents that did not renew their lease."),
+		skipped:   counter("entries_skipped_total", "Entries of the log that could not be read."),
+		agents:    gauge("agents", "Agents that hold a lease."),
+		leading:   gauge("leading", "1 while this instance leads."),
+		fresh:     gauge("fresh", "1 while this instance has contact with the quorum."),
+		term:      gauge("term", "The current term."),
 	}
-	r.MustRegister(m.changes, m.claims, m.feeds, m.renewals, m.expired, m.skipped,
+	r.MustRegister(m.changes, m.claims, m.feeds, m.feedBytes, m.renewals, m.expired, m.skipped,
 		m.agents, m.leading, m.fresh, m.term)
 	return m
 }
@@ -48,17 +49,9 @@
 }
 
 // countFeed counts an answer of the feed.
-func (m *metrics) countFeed(f *crwire.Feed) {
-	kind := "empty"
-	switch {
-	case f.Stale:
-		kind = "stale"
-	case f.Snapshot != nil:
-		kind = "snapshot"
-	case len(f.Deltas) > 0:
-		kind = "deltas"
-	}
+func (m *metrics) countFeed(kind string, n int) {
 	m.feeds.WithLabelValues(kind).Inc()
+	m.feedBytes.Add(float64(n))
 }
 
 // number returns 1 for true.
--- /dev/null
+++ b/internal/crcontrol/status.go
@@ -0,0 +1,18 @@
+package crcontrol
+
+import (
+	"net/http"
+
+	"cardamomring.dev/internal/crnet"
+	"cardamomring.dev/internal/crwire"
+)
+
+// serveStatus answers GET /status with what this instance knows.
+func (c *Control) serveStatus(w http.ResponseWriter, _ *http.Request) {
+	s := c.replica.Status()
+	crnet.WriteJSON(w, http.StatusOK, crwire.Status{
+		Name: c.Settings.Name, ID: s.ID, Term: s.Term, Leader: s.Leader, Address: s.Address,
+		Leading: s.Leading, Fresh: s.Fresh, Commit: s.Commit, Voters: s.Voters,
+		Revision: c.source.View().Revision, Followers: c.followers.list(),
+	})
+}
--- a/internal/crfeed/follower.go
+++ b/internal/crfeed/follower.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
+	"net/url"
+	"sync"
 	"time"
 
 	"cardamomring.dev/internal/crnet"
@@ -11,65 +14,204 @@
 
 const (
 	// pollWait is how long a poll stays open at the sender.
-	pollWait = 10 * time.Second
+	pollWait = 5 * time.Second
 	// pollMargin is how long a poll may take beyond pollWait.
 	pollMargin = 3 * time.Second
-	// retryWait is the pause after a failed poll.
-	retryWait = 200 * time.Millisecond
+	// freshFor is how long an answer of a fresh source proves that the view
+	// is in force.
+	freshFor = 2*pollWait + pollMargin
+	// pullTimeout bounds a pull from a peer.
+	pullTimeout = time.Second
+	// pullPause is the shortest time between two pulls.
+	pullPause = 20 * time.Millisecond
 )
 
-// Follower keeps a daemon's view up to date by long polls. Set the exported
-// fields before Run.
+// Follower keeps a daemon's view up to date by long polls, and by pulls from
+// peers that are known to be ahead. Its revision never goes back. Set the
+// exported fields before Run.
 type Follower struct {
+	// Name tells sources who polls; it may be empty.
+	Name string
 	// Client calls the sources.
 	Client *crnet.Client
 	// Sources are the host:port of control instances.
 	Sources []string
-	// Took is called with each later view, in the follower's goroutine.
+	// Took is called with each later view, one call at a time.
 	Took func(v *crwire.View)
 	// Failed is called when a poll fails.
 	Failed func(source string, err error)
+	// Source passes the feed on to others; nil passes nothing on.
+	Source *Source
+	// Random returns numbers from 0 to 1 for the first source and the
+	// back-off; nil takes the standard library's.
+	Random func() float64
 
-	view *crwire.View
+	setup sync.Once
+	hints chan hint
+	mu    sync.Mutex
+	view  *crwire.View
+	// proven is when a control instance last answered that it is fresh.
+	proven time.Time
+}
+
+// hint names a peer that is ahead.
+type hint struct {
+	source   string
+	revision uint64
 }
 
 // Run polls until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
-	f.view = Empty()
-	for next := 0; ctx.Err() == nil; {
+	f.setup.Do(f.open)
+	var loops sync.WaitGroup
+	defer loops.Wait()
+	loops.Go(func() { f.loop(ctx) })
+	next := int(f.Random() * float64(len(f.Sources)))
+	for failures := 0; ctx.Err() == nil; {
 		source := f.Sources[next%len(f.Sources)]
 		err := f.poll(ctx, source)
 		if err == nil {
+			failures = 0
 			continue
 		}
 		next++
+		failures++
 		if ctx.Err() == nil {
 			f.Failed(source, err)
-			pause(ctx, retryWait)
+			pause(ctx, Backoff(failures, len(f.Sources), f.Random()))
 		}
 	}
 }
 
-// poll asks one source once.
+// Hint says that a peer holds a revision. When it is ahead, the follower
+// pulls from it. Hint never blocks; it is safe for concurrent use.
+func (f *Follower) Hint(source string, rev uint64) {
+	f.setup.Do(f.open)
+	if rev <= f.Revision() {
+		return
+	}
+	select {
+	case f.hints <- hint{source: source, revision: rev}:
+	default:
+		// Another pull is under way; who is still ahead says so again.
+	}
+}
+
+// Revision returns the revision in force here, 0 before the first view.
+func (f *Follower) Revision() uint64 {
+	f.setup.Do(f.open)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.view.Revision
+}
+
+// Stale reports whether no control instance has lately proven that the view
+// is in force.
+func (f *Follower) Stale() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.proven.IsZero() || time.Since(f.proven) > freshFor
+}
+
+// open makes the follower ready.
+func (f *Follower) open() {
+	f.view = Empty()
+	f.hints = make(chan hint, 1)
+	if f.Random == nil {
+		f.Random = rand.Float64
+	}
+}
+
+// loop pulls from peers until ctx ends.
+func (f *Follower) loop(ctx context.Context) {
+	for {
+		select {
+		case h := <-f.hints:
+			if h.revision > f.Revision() {
+				f.pull(ctx, h.source)
+			}
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// pull asks a peer once. A peer proves nothing about what is in force.
+func (f *Follower) pull(ctx context.Context, source string) {
+	feed, err := f.ask(ctx, source, 0, pullTimeout)
+	if err == nil {
+		err = f.take(feed)
+	}
+	if err != nil && ctx.Err() == nil {
+		f.Failed(source, err)
+	}
+	pause(ctx, pullPause)
+}
+
+// poll asks a control instance once.
 func (f *Follower) poll(ctx context.Context, source string) error {
-	ctx, cancel := context.WithTimeout(ctx, pollWait+pollMargin)
-	defer cancel()
-	var feed crwire.Feed
-	path := fmt.Sprintf("/feed?after=%d&wait=%s", f.view.Revision, pollWait)
-	if err := f.Client.JSON(ctx, source, path, nil, &feed); err != nil {
+	asked := time.Now()
+	feed, err := f.ask(ctx, source, pollWait, pollWait+pollMargin)
+	if err != nil {
+		return err
+	}
+	if err := f.take(feed); err != nil {
 		return err
 	}
 	if feed.Stale {
 		return fmt.Errorf("%s is stale", source)
 	}
-	v, err := Take(f.view, &feed)
-	if v != f.view {
-		f.view = v
-		f.Took(v)
+	if here := f.Revision(); feed.Revision < here {
+		return fmt.Errorf("%s is at revision %d, behind %d", source, feed.Revision, here)
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.proven = asked
+	return nil
+}
+
+// ask polls a source with a wait there.
+func (f *Follower) ask(ctx context.Context, source string, wait, timeout time.Duration) (*crwire.Feed, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	path := fmt.Sprintf("/feed?after=%d&wait=%s&name=%s", f.Revision(), wait, url.QueryEscape(f.Name))
+	var feed crwire.Feed
+	if err := f.Client.JSON(ctx, source, path, nil, &feed); err != nil {
+		return nil, err
+	}
+	return &feed, nil
+}
+
+// take installs what an answer leads to. A stale answer moves a running
+// follower forward only; one that has no view yet refuses it.
+func (f *Follower) take(feed *crwire.Feed) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if feed.Stale && f.view.Revision == 0 {
+		return nil
+	}
+	v, err := Take(f.view, feed)
+	if v == f.view {
+		return err
 	}
+	f.view = v
+	if f.Source != nil {
+		passOn(f.Source, feed, v)
+	}
+	f.Took(v)
 	return err
 }
 
+// passOn moves a source to a view, by deltas where they fit.
+func passOn(s *Source, feed *crwire.Feed, v *crwire.View) {
+	for i := range feed.Deltas {
+		if err := s.Add(&feed.Deltas[i]); err != nil {
+			break
+		}
+	}
+	s.Reset(v)
+}
+
 // pause waits for d or until ctx ends.
 func pause(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
--- a/internal/crfeed/source.go
+++ b/internal/crfeed/source.go
@@ -1,15 +1,21 @@
 package crfeed
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"sync"
 	"time"
 
 	"cardamomring.dev/internal/crwire"
 )
 
-// historyMax is how many deltas a source keeps.
-const historyMax = 1024
+const (
+	// historyMax is how many deltas a source keeps.
+	historyMax = 1024
+	// historySlack is how many deltas beyond historyMax are cut at a time.
+	historySlack = 128
+)
 
 // Source answers the feed from a view and its last deltas. It is safe for
 // concurrent use.
@@ -17,12 +23,19 @@
 	mu      sync.Mutex
 	view    *crwire.View
 	history []crwire.Delta
-	changed chan struct{}
+	// answers holds the answers for the view in force by the revision that
+	// was asked from.
+	answers map[uint64]*Answer
+	// snapshot is the answer to those who are too far behind.
+	snapshot *Answer
+	changed  chan struct{}
 }
 
 // NewSource returns a source that holds v.
 func NewSource(v *crwire.View) *Source {
-	return &Source{view: v, changed: make(chan struct{})}
+	s := &Source{changed: make(chan struct{})}
+	s.set(v)
+	return s
 }
 
 // View returns the view in force.
@@ -41,8 +54,8 @@
 		return err
 	}
 	s.history = append(s.history, *d)
-	if len(s.history) > historyMax {
-		s.history = s.history[len(s.history)-historyMax:]
+	if len(s.history) >= historyMax+historySlack {
+		s.history = slices.Clone(s.history[historySlack:])
 	}
 	s.set(next)
 	return nil
@@ -62,44 +75,61 @@
 // set installs a view; the caller holds mu.
 func (s *Source) set(v *crwire.View) {
 	s.view = v
+	s.answers = map[uint64]*Answer{}
+	s.snapshot = &Answer{Feed: crwire.Feed{Revision: v.Revision, Snapshot: v}}
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
 
 // Answer returns what leads from revision after to the view in force, and
-// waits up to wait for there to be something.
-func (s *Source) Answer(ctx context.Context, after uint64, wait time.Duration) *crwire.Feed {
+// waits up to wait for there to be something. One who is ahead of the source
+// is answered at once.
+func (s *Source) Answer(ctx context.Context, after uint64, wait time.Duration) *Answer {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
-		feed, changed := s.since(after)
-		if feed.Revision > after || wait <= 0 {
-			return feed
+		answer, changed := s.since(after)
+		if answer.Feed.Revision != after || wait <= 0 {
+			return answer
 		}
 		select {
 		case <-changed:
 		case <-timer.C:
-			return feed
+			return answer
 		case <-ctx.Done():
-			return feed
+			return answer
 		}
 	}
 }
 
 // since returns the answer for now and the channel that closes on a change.
-func (s *Source) since(after uint64) (*crwire.Feed, <-chan struct{}) {
+func (s *Source) since(after uint64) (*Answer, <-chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	feed := &crwire.Feed{Revision: s.view.Revision}
+	answer := s.answers[after]
+	if answer == nil {
+		answer = s.lead(after)
+		s.answers[after] = answer
+	}
+	return answer, s.changed
+}
+
+// lead makes the answer for a revision; the caller holds mu. What many
+// deltas set more than once comes once; a delta that would carry more than
+// the whole view gives way to a snapshot.
+func (s *Source) lead(after uint64) *Answer {
 	if after >= s.view.Revision {
-		return feed, s.changed
+		return &Answer{Feed: crwire.Feed{Revision: s.view.Revision}}
 	}
-	for i := range s.history {
-		if s.history[i].From == after {
-			feed.Deltas = s.history[i:]
-			return feed, s.changed
-		}
+	i, ok := slices.BinarySearchFunc(s.history, after, func(d crwire.Delta, rev uint64) int {
+		return cmp.Compare(d.From, rev)
+	})
+	if !ok {
+		return s.snapshot
+	}
+	delta := Merge(s.history[i:])
+	if len(delta.Services)+len(delta.Members) > len(s.view.Services)+len(s.view.Members) {
+		return s.snapshot
 	}
-	feed.Snapshot = s.view
-	return feed, s.changed
+	return &Answer{Feed: crwire.Feed{Revision: s.view.Revision, Deltas: []crwire.Delta{delta}}}
 }
--- /dev/null
+++ b/internal/crwire/status.go
@@ -0,0 +1,35 @@
+package crwire
+
+// Status is what a control instance answers to GET /status.
+type Status struct {
+	// Name is the instance's name and ID its number.
+	Name string `json:"name"`
+	ID   uint64 `json:"id"`
+	// Term is the term of the replicated log.
+	Term uint64 `json:"term"`
+	// Leader is the leader's ID, 0 when unknown, and Address its host:port.
+	Leader  uint64 `json:"leader"`
+	Address string `json:"address"`
+	// Leading says that this instance is the leader.
+	Leading bool `json:"leading"`
+	// Fresh says that it has lately had contact with a quorum.
+	Fresh bool `json:"fresh"`
+	// Commit is the index of its last committed entry.
+	Commit uint64 `json:"commit"`
+	// Voters maps each voting instance to its host:port.
+	Voters map[uint64]string `json:"voters"`
+	// Revision is the revision in force here.
+	Revision uint64 `json:"rev"`
+	// Followers are the daemons that poll the feed here.
+	Followers []Follower `json:"followers"`
+}
+
+// Follower is a daemon that polls the feed.
+type Follower struct {
+	// Name is the daemon's name.
+	Name string `json:"name"`
+	// Revision is the revision that it has in force.
+	Revision uint64 `json:"rev"`
+	// Age is how long ago it polled, in milliseconds.
+	Age int64 `json:"age"`
+}
