--- a/internal/crbalancer/balancer.go
+++ b/internal/crbalancer/balancer.go
@@ -86,6 +86,7 @@
 		return err
 	}
 	follower := &crfeed.Follower{
+		Name:   b.Settings.Name,
 		Client: b.client, Sources: b.Settings.Control, Took: b.took, Failed: b.failed,
 	}
 	b.loops.Go(func() { follower.Run(loopCtx) })
