--- a/internal/crflow/table.go
+++ b/internal/crflow/table.go
@@ -29,7 +29,7 @@
 	// OpenIdle ends a flow on probation that no datagram has used.
 	OpenIdle time.Duration
 
-	index     map[netip.AddrPort]int32
+	index     map[address]int32
 	entries   []entry
 	live      list
 	probation list
@@ -40,16 +40,31 @@
 const none = int32(-1)
 
 // entry is one flow. prev and next link it into one of the lists, oldest
-// first.
+// first. It holds no pointer, so that the collector passes over the table.
 type entry struct {
-	flow      Flow
-	caller    netip.AddrPort
 	seen      int64
+	passed    uint32
 	prev      int32
 	next      int32
+	caller    address
+	back      address
 	confirmed bool
 }
 
+// address is a netip.AddrPort in 18 bytes; IPv4 is mapped into IPv6.
+type address struct {
+	ip   [16]byte
+	port uint16
+}
+
+// addressOf returns the short form of an address.
+func addressOf(a netip.AddrPort) address { return address{ip: a.Addr().As16(), port: a.Port()} }
+
+// addrPort returns the long form.
+func (a address) addrPort() netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom16(a.ip).Unmap(), a.port)
+}
+
 // list is a doubly linked list through the entries.
 type list struct {
 	head, tail int32
@@ -59,7 +74,7 @@
 // Open makes the table ready. It takes all the memory that the table's
 // entries will ever take.
 func (t *Table) Open() {
-	t.index = make(map[netip.AddrPort]int32)
+	t.index = make(map[address]int32)
 	t.entries = make([]entry, t.Live+t.Probation)
 	t.live, t.probation, t.free = emptyList(), emptyList(), emptyList()
 	for i := range t.entries {
@@ -70,19 +85,21 @@
 // Get returns the flow of a caller and notes that a datagram used it.
 func (t *Table) Get(caller netip.AddrPort, now time.Time) (Flow, bool) {
 	t.age(now)
-	i, ok := t.index[caller]
+	i, ok := t.index[addressOf(caller)]
 	if !ok {
 		return Flow{}, false
 	}
 	t.touch(i, now)
-	return t.entries[i].flow, true
+	e := &t.entries[i]
+	return Flow{Return: e.back.addrPort(), Passed: e.passed}, true
 }
 
 // Put records a flow, on probation when it is new.
 func (t *Table) Put(caller netip.AddrPort, f Flow, now time.Time) {
 	t.age(now)
-	if i, ok := t.index[caller]; ok {
-		t.entries[i].flow = f
+	key, back := addressOf(caller), addressOf(f.Return)
+	if i, ok := t.index[key]; ok {
+		t.entries[i].back, t.entries[i].passed = back, f.Passed
 		t.touch(i, now)
 		return
 	}
@@ -91,16 +108,16 @@
 	}
 	i := t.free.head
 	t.unlink(&t.free, i)
-	t.entries[i] = entry{flow: f, caller: caller, seen: now.UnixNano()}
+	t.entries[i] = entry{caller: key, back: back, passed: f.Passed, seen: now.UnixNano()}
 	t.push(&t.probation, i)
-	t.index[caller] = i
+	t.index[key] = i
 }
 
 // Confirm moves a flow to the live area, if it has room; otherwise the flow
 // stays on probation.
 func (t *Table) Confirm(caller netip.AddrPort, now time.Time) {
 	t.age(now)
-	i, ok := t.index[caller]
+	i, ok := t.index[addressOf(caller)]
 	if !ok || t.entries[i].confirmed || t.live.n == t.Live {
 		return
 	}
@@ -112,7 +129,7 @@
 
 // Remove forgets the flow of a caller.
 func (t *Table) Remove(caller netip.AddrPort) {
-	if i, ok := t.index[caller]; ok {
+	if i, ok := t.index[addressOf(caller)]; ok {
 		t.drop(t.listOf(i), i)
 	}
 }
--- a/internal/crflow/table_test.go
+++ b/internal/crflow/table_test.go
@@ -87,7 +87,7 @@
 				age()
 			},
 			"put": func(t *rapid.T) {
-				c, f := caller.Draw(t, "caller"), crflow.Flow{Passed: rapid.Uint32Max(3).Draw(t, "passed")}
+				c, f := caller.Draw(t, "caller"), crflow.Flow{Return: back, Passed: rapid.Uint32Max(3).Draw(t, "passed")}
 				table.Put(c, f, now)
 				if model[c] == nil {
 					model[c] = &modelFlow{}
--- /dev/null
+++ b/internal/crroute/bench_test.go
@@ -0,0 +1,152 @@
+package crroute_test
+
+import (
+	"fmt"
+	"testing"
+
+	"cardamomring.dev/internal/crroute"
+	"cardamomring.dev/internal/crwire"
+	"cardamomring.dev/pkg/crdoc"
+)
+
+// sizes are the numbers of agents that benchmarks use.
+var sizes = []int{10, 1000, 48_000}
+
+// bigView returns a view with n agents of one service.
+func bigView(n int) *crwire.View {
+	v := &crwire.View{
+		Revision: 1, Services: map[string]*crdoc.Service{"ledger": {}}, Members: make(map[uint32]crwire.Member, n),
+	}
+	for _, a := range agents(n) {
+		v.Members[a.Num] = crwire.Member{
+			Num: a.Num, Service: "ledger", Zone: a.Zone, Host: a.Host, Datagram: "10.0.0.1:9", Weight: a.Weight,
+		}
+	}
+	return v
+}
+
+// BenchmarkForward is what a balancer does with a datagram between its
+// sockets: find the way and write the envelope.
+func BenchmarkForward(b *testing.B) {
+	s := sealer(b, "one")
+	mac := s.MAC
+	for _, n := range sizes {
+		var router crroute.Router
+		plan := router.Update(bigView(n), epoch)
+		owned := append(short(s, 7, "ledger"), make([]byte, 1200)...)
+		for name, packet := range map[string][]byte{"owned": owned, "first": first()} {
+			b.Run(fmt.Sprintf("%s/agents=%d", name, n), func(b *testing.B) {
+				var route crroute.Route
+				env := crwire.Envelope{Service: []byte("ledger"), Caller: caller, Return: caller, Revision: 1}
+				buf := make([]byte, 0, 2000)
+				b.ReportAllocs()
+				for b.Loop() {
+					if plan.Route(s, "ledger", caller, packet, &route) != crroute.ReasonNone {
+						b.Fatal("dropped")
+					}
+					env.Chain, env.Len, env.Accept, env.Owned = route.Chain, route.Len, route.Accept, route.Owned
+					env.Payload = packet
+					buf = crwire.AppendEnvelope(buf[:0], &env, mac)
+				}
+				b.ReportMetric(float64(len(buf)-len(packet)), "overhead-B")
+			})
+		}
+	}
+}
+
+// BenchmarkOpenEnvelope is what an agent does first with an envelope.
+func BenchmarkOpenEnvelope(b *testing.B) {
+	s := sealer(b, "one")
+	env := crwire.Envelope{
+		Service: []byte("ledger"), Caller: caller, Return: caller, Revision: 1, Len: 3,
+		Chain: [crwire.ChainMax]uint32{1, 2, 3}, Payload: first(),
+	}
+	data := crwire.AppendEnvelope(nil, &env, s.MAC)
+	verify := s.Verify
+	b.ReportAllocs()
+	for b.Loop() {
+		if err := crwire.OpenEnvelope(data, &env, verify); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+// orderings are the tables that are compared.
+var orderings = map[string]func(list []crroute.Agent) func(key uint64) uint32{
+	"rendezvous": func(list []crroute.Agent) func(uint64) uint32 { return crroute.NewTable(list).First },
+	"maglev":     func(list []crroute.Agent) func(uint64) uint32 { return newMaglev(list).first },
+}
+
+// BenchmarkLookup compares lookups in both kinds of table.
+func BenchmarkLookup(b *testing.B) {
+	for name, build := range orderings {
+		for _, n := range sizes {
+			first := build(agents(n))
+			b.Run(fmt.Sprintf("%s/agents=%d", name, n), func(b *testing.B) {
+				key := uint64(0)
+				for b.Loop() {
+					key += 0x9e3779b97f4a7c15
+					first(key)
+				}
+			})
+		}
+	}
+}
+
+// BenchmarkBuild compares building both kinds of table.
+func BenchmarkBuild(b *testing.B) {
+	for name, build := range orderings {
+		for _, n := range sizes {
+			list := agents(n)
+			b.Run(fmt.Sprintf("%s/agents=%d", name, n), func(b *testing.B) {
+				for b.Loop() {
+					build(list)
+				}
+			})
+		}
+	}
+}
+
+// BenchmarkPlan is a balancer's work for one change of the view.
+func BenchmarkPlan(b *testing.B) {
+	for _, n := range sizes {
+		v := bigView(n)
+		b.Run(fmt.Sprintf("agents=%d", n), func(b *testing.B) {
+			for b.Loop() {
+				var router crroute.Router
+				router.Update(v, epoch)
+			}
+		})
+	}
+}
+
+// BenchmarkMoved reports the share of flows that move when one agent in the
+// middle leaves, against the share that it held.
+func BenchmarkMoved(b *testing.B) {
+	const flows = 200_000
+	for name, build := range orderings {
+		for _, n := range sizes {
+			b.Run(fmt.Sprintf("%s/agents=%d", name, n), func(b *testing.B) {
+				list := agents(n)
+				gone := list[n/2]
+				before := build(list)
+				after := build(append(append([]crroute.Agent{}, list[:n/2]...), list[n/2+1:]...))
+				moved, held := 0, 0
+				for b.Loop() {
+					moved, held = 0, 0
+					for _, key := range keys(1, flows) {
+						was := before(key)
+						if was == gone.Num {
+							held++
+						}
+						if was != after(key) {
+							moved++
+						}
+					}
+				}
+				b.ReportMetric(float64(moved)/flows*1e6, "moved-ppm")
+				b.ReportMetric(float64(held)/flows*1e6, "held-ppm")
+			})
+		}
+	}
+}
--- a/internal/crroute/choice.go
+++ b/internal/crroute/choice.go
@@ -15,17 +15,24 @@
 	unitBits = 53
 )
 
-// score draws an agent's score for a flow; the higher the weight, the more
-// flows it wins, in proportion.
-func score(key uint64, num uint32, weight float64) float64 {
+// unit draws a number between 0 and 1, uniformly, from a flow's key and an
+// agent's number.
+func unit(key uint64, num uint32) float64 {
 	x := key ^ uint64(num)*mixB
 	hi, lo := bits.Mul64(x^groupSeed, mixA)
 	x = hi ^ lo
 	x = (x ^ x>>31) * mixB
-	u := (float64(x>>(64-unitBits)) + 0.5) / (1 << unitBits)
-	return weight / -math.Log(u)
+	return (float64(x>>(64-unitBits)) + 0.5) / (1 << unitBits)
 }
 
+// score turns a uniform number into an agent's score; the higher the weight,
+// the more flows it wins, in proportion.
+func score(u, weight float64) float64 { return weight / -math.Log(u) }
+
+// below reports that the score can't be above high, without the logarithm:
+// -log(u) is at least 1-u.
+func below(u, weight, high float64) bool { return weight <= high*(1-u) }
+
 // scored is an agent with its score.
 type scored struct {
 	slot  slot
@@ -40,19 +47,41 @@
 	nspare int
 }
 
-// scan looks at some agents. The first scan holds the best of all.
+// scan looks at some agents. The first scan holds the best of all; the
+// agents of a second scan stand behind those of the first, in their own
+// order.
 func (c *choice) scan(key uint64, slots []slot) {
 	second := c.nspare > 0
 	for _, s := range slots {
-		e := scored{slot: s, score: score(key, s.num, s.weight)}
+		u := unit(key, s.num)
+		if below(u, s.weight, c.needed(s, second)) {
+			continue
+		}
+		e := scored{slot: s, score: score(u, s.weight)}
 		if second {
-			// Below every score of the first group, in the same order.
 			e.score = -1 / e.score
 		}
 		c.keep(e)
 	}
 }
 
+// needed returns the score that an agent must be above to be kept.
+func (c *choice) needed(s slot, second bool) float64 {
+	z := &c.zones[s.zone%zonesMax]
+	if z.slot.num == 0 || c.nspare < spareMax {
+		return 0
+	}
+	low := min(z.score, c.spares[spareMax-1].score)
+	switch {
+	case !second:
+		return low
+	case low < 0:
+		return -1 / low
+	default:
+		return math.Inf(1)
+	}
+}
+
 // keep takes one agent in.
 func (c *choice) keep(e scored) {
 	if z := &c.zones[e.slot.zone%zonesMax]; z.slot.num == 0 || e.score > z.score {
--- a/internal/crroute/table.go
+++ b/internal/crroute/table.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
 )
 
@@ -109,14 +108,17 @@
 
 // First returns the agent that stands first for a flow, 0 in an empty table.
 func (t *Table) First(key uint64) uint32 {
-	var best slot
-	high := math.Inf(-1)
+	best, high := uint32(0), 0.0
 	for _, s := range t.group(key, -1).slots {
-		if v := score(key, s.num, s.weight); v > high {
-			high, best = v, s
+		u := unit(key, s.num)
+		if below(u, s.weight, high) {
+			continue
+		}
+		if v := score(u, s.weight); v > high {
+			high, best = v, s.num
 		}
 	}
-	return best.num
+	return best
 }
 
 // Append appends up to n agents for a flow, best first. After the first one
@@ -137,16 +139,17 @@
 // group returns the group with the highest score for a flow, apart from the
 // one whose ID is except.
 func (t *Table) group(key uint64, except int64) *group {
-	best, high := &t.groups[0], math.Inf(-1)
+	best, high := &t.groups[0], 0.0
 	if len(t.groups) == 1 {
 		return best
 	}
 	for i := range t.groups {
 		g := &t.groups[i]
-		if int64(g.id) == except {
+		u := unit(key^groupSeed, g.id)
+		if int64(g.id) == except || below(u, g.weight, high) {
 			continue
 		}
-		if v := score(key^groupSeed, g.id, g.weight); v > high {
+		if v := score(u, g.weight); v > high {
 			high, best = v, g
 		}
 	}
