--- a/internal/crbalancer/control_test.go
+++ b/internal/crbalancer/control_test.go
@@ -2,10 +2,8 @@
 
 import (
 	"net/http"
-	"strconv"
 	"sync"
 	"testing"
-	"time"
 
 	"cardamomring.dev/internal/crfeed"
 	"cardamomring.dev/internal/crnet"
@@ -34,7 +32,7 @@
 func (c *fakeControl) listen(t *testing.T) *crnet.Server {
 	t.Helper()
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /feed", c.serveFeed)
+	mux.Handle("GET /feed", &crfeed.Handler{Source: c.source, Stale: func() bool { return false }})
 	mux.HandleFunc("POST /announce", c.serveAnnounce)
 	server := &crnet.Server{Addr: "127.0.0.1:0", Handler: mux}
 	if err := server.Start(); err != nil {
@@ -65,12 +63,6 @@
 	c.change(crwire.Delta{Services: []*crdoc.Service{&doc}})
 }
 
-func (c *fakeControl) serveFeed(w http.ResponseWriter, r *http.Request) {
-	after, _ := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
-	wait, _ := time.ParseDuration(r.URL.Query().Get("wait"))
-	crnet.WriteJSON(w, http.StatusOK, c.source.Answer(r.Context(), after, wait))
-}
-
 func (c *fakeControl) serveAnnounce(w http.ResponseWriter, r *http.Request) {
 	var a crwire.Announce
 	if !crnet.ReadJSON(w, r, 1<<20, &a) {
