--- a/internal/crfeed/source.go
+++ b/internal/crfeed/source.go
@@ -81,10 +81,15 @@
 	s.changed = make(chan struct{})
 }
 
-// Answer returns what leads from revision after to the view in force, and
+// Answer returns what Poll returns, not encoded. The caller doesn't change it.
+func (s *Source) Answer(ctx context.Context, after uint64, wait time.Duration) *crwire.Feed {
+	return &s.Poll(ctx, after, wait).Feed
+}
+
+// Poll returns what leads from revision after to the view in force, and
 // waits up to wait for there to be something. One who is ahead of the source
 // is answered at once.
-func (s *Source) Answer(ctx context.Context, after uint64, wait time.Duration) *Answer {
+func (s *Source) Poll(ctx context.Context, after uint64, wait time.Duration) *Answer {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
--- a/internal/crfeed/source_test.go
+++ b/internal/crfeed/source_test.go
@@ -61,7 +61,7 @@
 			views = append(views, source.View())
 		}
 		for rev, v := range views {
-			got, err := crfeed.Take(v, &source.Answer(context.Background(), uint64(rev), 0).Feed)
+			got, err := crfeed.Take(v, source.Answer(context.Background(), uint64(rev), 0))
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -75,7 +75,7 @@
 func TestAnswersInAnyOrderNeverGoBack(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		source := crfeed.NewSource(crfeed.Empty())
-		var answers []*crfeed.Answer
+		var answers []*crwire.Feed
 		for rev := range uint64(10) {
 			d := drawDelta(t, rev)
 			if err := source.Add(&d); err != nil {
@@ -87,7 +87,7 @@
 		v := crfeed.Empty()
 		for _, a := range rapid.Permutation(answers).Draw(t, "order") {
 			// A delta that doesn't fit is an error and changes nothing.
-			next, _ := crfeed.Take(v, &a.Feed)
+			next, _ := crfeed.Take(v, a)
 			if next.Revision < v.Revision {
 				t.Fatalf("revision %d after %d", next.Revision, v.Revision)
 			}
@@ -98,18 +98,18 @@
 
 func TestBurstComesAsOneDelta(t *testing.T) {
 	source := filled(t, 400)
-	feed := source.Answer(context.Background(), 100, 0).Feed
+	feed := source.Answer(context.Background(), 100, 0)
 	if len(feed.Deltas) != 1 || len(feed.Deltas[0].Members) != 10 || feed.Deltas[0].To != 400 {
 		t.Errorf("300 changes of 10 agents: %+v", feed)
 	}
-	if feed := filled(t, 5000).Answer(context.Background(), 100, 0).Feed; feed.Snapshot == nil {
+	if feed := filled(t, 5000).Answer(context.Background(), 100, 0); feed.Snapshot == nil {
 		t.Error("too far behind: no snapshot")
 	}
 }
 
 func TestSubscribersShareOneAnswer(t *testing.T) {
 	source := filled(t, 50)
-	one, two := source.Answer(context.Background(), 49, 0), source.Answer(context.Background(), 49, 0)
+	one, two := source.Poll(context.Background(), 49, 0), source.Poll(context.Background(), 49, 0)
 	if one != two || &one.Body()[0] != &two.Body()[0] {
 		t.Error("two subscribers at one revision got two answers")
 	}
