--- a/internal/cragent/agent.go
+++ b/internal/cragent/agent.go
@@ -69,7 +69,11 @@
 	a.caller = &crrun.Caller{Client: a.client}
 	a.view.Store(crfeed.Empty())
 	a.source = crfeed.NewSource(crfeed.Empty())
-	a.hint = func(string, uint64) {}
+	follower := &crfeed.Follower{
+		Name: a.Settings.Name, Client: a.client, Sources: a.Settings.Control,
+		Took: a.took, Failed: a.failed, Source: a.source,
+	}
+	a.hint = follower.Hint
 	if err := a.openFlows(); err != nil {
 		return err
 	}
@@ -82,7 +86,7 @@
 		Run: server.Bound(), Datagram: a.datagramAddr(), Weight: set.Weight,
 	}
 	loopCtx, cancel := context.WithCancel(context.Background())
-	a.start(loopCtx)
+	a.start(loopCtx, follower)
 	a.Ready(server.Bound())
 	<-ctx.Done()
 	err := a.drain(server)
@@ -92,11 +96,7 @@
 }
 
 // start runs the agent's loops until ctx ends.
-func (a *Agent) start(ctx context.Context) {
-	follower := &crfeed.Follower{
-		Name:   a.Settings.Name,
-		Client: a.client, Sources: a.Settings.Control, Took: a.took, Failed: a.failed,
-	}
+func (a *Agent) start(ctx context.Context, follower *crfeed.Follower) {
 	a.loops.Go(func() { follower.Run(ctx) })
 	a.loops.Go(func() { a.loop(ctx) })
 }
@@ -121,7 +121,6 @@
 // took stores a later view.
 func (a *Agent) took(v *crwire.View) {
 	a.view.Store(v)
-	a.source.Reset(v)
 	if a.flows != nil {
 		a.flows.datagrams.took(v)
 		a.flows.watch(slices.Contains(v.Out, a.member.Zone))
--- a/internal/crfeed/follower_test.go
+++ b/internal/crfeed/follower_test.go
@@ -139,6 +139,13 @@
 	if diff := cmp.Diff(peer.View(), own.View()); diff != "" {
 		t.Errorf("what the daemon passes on (-want +got):\n%s", diff)
 	}
+	// An instance that is behind is left for another one.
+	if err := control.Add(memberDelta(6, 1, "x")); err != nil {
+		t.Fatal(err)
+	}
+	if source := <-d.failed; source != control.addr {
+		t.Errorf("%s failed, want %s", source, control.addr)
+	}
 }
 
 func TestBackoffGrowsToABound(t *testing.T) {
--- a/internal/crfeed/handler.go
+++ b/internal/crfeed/handler.go
@@ -65,5 +65,5 @@
 	if h.Stopping != nil {
 		defer context.AfterFunc(h.Stopping, cancel)()
 	}
-	return h.Source.Answer(ctx, after, wait)
+	return h.Source.Poll(ctx, after, wait)
 }
