Run requests by admission, elsewhere, and once for their key

Aim: the agent admits, queues, preempts and cancels requests, tries others within a budget, and tells outcomes that are true.

Weighed: retries of requests that were never tried anywhere count against the budget in the design. That bounds evening out between backend servers of different speed to a tenth of the requests, so one forward to a clearly less loaded agent before any try is free, and everything after a try is a retry. A claim is taken by the agent that runs the request; one that was granted but did not run is settled as not run before another agent may claim it.

Change: gate (cradmit behind a mutex), route and runHere, others (loads, passive ejection, budget), claims with settle and release, counters. The fake backend server has switches, by flags and at /fake. agent.go: three fields and three calls; flows.go: Room for the flow owner.

--- a/cmd/cardamomring/backend.go
+++ b/cmd/cardamomring/backend.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"cardamomring.dev/internal/crfake"
+	"cardamomring.dev/pkg/crdoc"
 )
 
 // backendArgs are the arguments of backend.
@@ -14,11 +15,28 @@
 	Listen string        `arg:"-l,--listen,required" placeholder:"HOST:PORT" help:"address to listen on"`
 	Name   string        `arg:"-n,--name" default:"backend" help:"name in each answer"`
 	Time   time.Duration `arg:"-t,--time" default:"5ms" help:"time that one request takes"`
+
+	Parallel int           `arg:"-p,--parallel" placeholder:"N" help:"requests that run at once; 0 is no bound"`
+	Bears    int           `arg:"-b,--bears" placeholder:"N" help:"requests that it bears while cold; 0 bears all"`
+	Warm     time.Duration `arg:"-w,--warm" default:"0s" help:"time until it is warm"`
+	Down     time.Duration `arg:"-d,--down" default:"1s" help:"time that it is down after more than it bears"`
+	Late     time.Duration `arg:"--late" default:"5s" help:"delay of the fault late"`
+	Fault    crfake.Fault  `arg:"-f,--fault" default:"none" help:"none, shed, frozen, late, crossed, cut, error or reset"`
+	Health   int           `arg:"--health" default:"200" placeholder:"STATUS" help:"status of /healthz, true or not"`
+}
+
+// switches returns the switches that the arguments set.
+func (a *backendArgs) switches() crfake.Switches {
+	return crfake.Switches{
+		Time: crdoc.Duration(a.Time), Parallel: a.Parallel, Bears: a.Bears, Warm: crdoc.Duration(a.Warm),
+		Down: crdoc.Duration(a.Down), Late: crdoc.Duration(a.Late), Fault: a.Fault, Health: a.Health,
+	}
 }
 
-// runBackend runs a fake backend server until ctx ends.
+// runBackend runs a fake backend server until ctx ends. Its switches can be
+// changed at run time by a POST to /fake.
 func runBackend(ctx context.Context, a *backendArgs, errOut io.Writer) int {
-	backend := &crfake.Backend{Addr: a.Listen, Name: a.Name, Service: a.Time}
+	backend := &crfake.Backend{Addr: a.Listen, Name: a.Name, Switches: a.switches()}
 	if err := backend.Start(); err != nil {
 		fmt.Fprintln(errOut, err)
 		return exitFailed
--- a/internal/cragent/agent.go
+++ b/internal/cragent/agent.go
@@ -57,6 +57,12 @@
 	source *crfeed.Source
 	// hint asks for the feed where a later revision was seen.
 	hint func(source string, rev uint64)
+	// gate admits requests to the backend server.
+	gate *gate
+	// others are the other agents of the service.
+	others *others
+	// requests counts requests.
+	requests *requests
 }
 
 // Run serves until ctx ends; then it drains and stops.
@@ -69,6 +75,7 @@
 	a.view.Store(crfeed.Empty())
 	a.source = crfeed.NewSource(crfeed.Empty())
 	a.hint = func(string, uint64) {}
+	a.openRequests()
 	if err := a.openFlows(); err != nil {
 		return err
 	}
@@ -97,6 +104,7 @@
 	}
 	a.loops.Go(func() { follower.Run(ctx) })
 	a.loops.Go(func() { a.loop(ctx) })
+	a.loops.Go(func() { a.gate.loop(ctx) })
 }
 
 // drain tells control that the agent leaves and finishes what is under way.
@@ -118,6 +126,9 @@
 
 // took stores a later view.
 func (a *Agent) took(v *crwire.View) {
+	if doc := v.Services[a.member.Service]; doc != nil {
+		a.gate.configure(doc)
+	}
 	a.view.Store(v)
 	a.source.Reset(v)
 	if a.flows != nil {
--- /dev/null
+++ b/internal/cragent/claim.go
@@ -0,0 +1,189 @@
+package cragent
+
+import (
+	"context"
+	"crypto/rand"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"cardamomring.dev/internal/crrun"
+	"cardamomring.dev/internal/crwire"
+	"cardamomring.dev/pkg/crdoc"
+)
+
+const (
+	// claimTimeout bounds one call to a control instance.
+	claimTimeout = 2 * time.Second
+	// heldWait is the first pause before a held claim is asked for again.
+	heldWait = 20 * time.Millisecond
+	// heldWaitMax bounds the pause, which doubles.
+	heldWaitMax = 500 * time.Millisecond
+	// settleTime is how long an outcome is offered to control.
+	settleTime = 30 * time.Second
+	// settleWait is the pause between two rounds of offers.
+	settleWait = 200 * time.Millisecond
+)
+
+// Reasons of refusals around claims.
+const (
+	reasonControl  = "control"
+	reasonHeld     = "held"
+	reasonMismatch = "mismatch"
+	reasonRecorded = "recorded"
+	reasonTooLong  = "answer over the size that is kept"
+)
+
+// runClaimed runs a request that may not be repeated once for its key.
+func (a *Agent) runClaimed(ctx context.Context, req *crrun.Request, class crdoc.Class) crrun.Answer {
+	claim := crwire.Claim{
+		Service: req.Service, Key: req.Key, Digest: digest(req), Attempt: rand.Text(),
+	}
+	switch claimed := a.claim(ctx, claim); claimed.Verdict {
+	case crwire.VerdictGranted:
+		return a.runGranted(ctx, req, class, claim)
+	case crwire.VerdictRecorded:
+		return recorded(claimed.Record)
+	case crwire.VerdictHeld:
+		return crrun.Refuse(crwire.OutcomeUnknown, reasonHeld)
+	case crwire.VerdictMismatch:
+		return crrun.Reject(http.StatusUnprocessableEntity, reasonMismatch)
+	default:
+		a.loops.Go(func() { a.runRelease(claim) })
+		return crrun.Refuse(crwire.OutcomeNotrun, reasonControl)
+	}
+}
+
+// runGranted runs a request whose claim this attempt holds, and settles it.
+func (a *Agent) runGranted(ctx context.Context, req *crrun.Request, class crdoc.Class, claim crwire.Claim) crrun.Answer {
+	answer := crrun.Refuse(crwire.OutcomeNotrun, reasonFrozen)
+	if !over(ctx) {
+		answer = a.runHere(ctx, req, class)
+	}
+	// The key must be free before another agent may claim it; any other
+	// outcome is kept for those who ask again.
+	settled := a.settle(claim, record(answer))
+	if answer.Outcome == crwire.OutcomeNotrun && !settled {
+		return crrun.Refuse(crwire.OutcomeNotrun, reasonGone)
+	}
+	return answer
+}
+
+// claim asks control until the claim is granted, recorded or refused, or the
+// deadline is over.
+func (a *Agent) claim(ctx context.Context, claim crwire.Claim) crwire.Claimed {
+	claimed := crwire.Claimed{Verdict: crwire.VerdictUnavailable}
+	for wait := heldWait; !over(ctx); wait = min(2*wait, heldWaitMax) {
+		claimed = a.askClaim(ctx, claim)
+		if claimed.Verdict != crwire.VerdictHeld {
+			return claimed
+		}
+		pause(ctx, wait)
+	}
+	return claimed
+}
+
+// askClaim asks the control instances in turn; the same attempt gets the
+// same verdict from each.
+func (a *Agent) askClaim(ctx context.Context, claim crwire.Claim) crwire.Claimed {
+	for _, addr := range a.Settings.Control {
+		var claimed crwire.Claimed
+		callCtx, cancel := context.WithTimeout(ctx, claimTimeout)
+		err := a.client.JSON(callCtx, addr, "/claim", claim, &claimed)
+		cancel()
+		if err == nil && claimed.Verdict != crwire.VerdictUnavailable {
+			return claimed
+		}
+	}
+	return crwire.Claimed{Verdict: crwire.VerdictUnavailable}
+}
+
+// settle records an outcome at control. It asks each instance once while the
+// caller waits, and goes on in the background. It returns whether control
+// has taken it.
+func (a *Agent) settle(claim crwire.Claim, record crwire.Record) bool {
+	s := crwire.Settle{Service: claim.Service, Key: claim.Key, Attempt: claim.Attempt, Record: record}
+	if a.askSettle(context.Background(), s) {
+		return true
+	}
+	a.loops.Go(func() { a.runSettle(s) })
+	return false
+}
+
+// runRelease frees the key of a claim that got no answer: control may have
+// granted it unheard. The second time is for a claim that was still on its
+// way at the first.
+func (a *Agent) runRelease(claim crwire.Claim) {
+	s := crwire.Settle{
+		Service: claim.Service, Key: claim.Key, Attempt: claim.Attempt,
+		Record: crwire.Record{Outcome: crwire.OutcomeNotrun},
+	}
+	a.runSettle(s)
+	pause(context.Background(), claimTimeout)
+	a.runSettle(s)
+}
+
+// runSettle offers an outcome to control until it is taken.
+func (a *Agent) runSettle(s crwire.Settle) {
+	ctx, cancel := context.WithTimeout(context.Background(), settleTime)
+	defer cancel()
+	for ctx.Err() == nil && !a.askSettle(ctx, s) {
+		pause(ctx, settleWait)
+	}
+}
+
+// askSettle offers an outcome to the control instances in turn.
+func (a *Agent) askSettle(ctx context.Context, s crwire.Settle) bool {
+	for _, addr := range a.Settings.Control {
+		callCtx, cancel := context.WithTimeout(ctx, claimTimeout)
+		var answer json.RawMessage
+		err := a.client.JSON(callCtx, addr, "/settle", s, &answer)
+		cancel()
+		if err == nil {
+			return true
+		}
+	}
+	return false
+}
+
+// digest identifies what a key was used for.
+func digest(req *crrun.Request) string {
+	h := sha256.New()
+	for _, part := range []string{req.Method, "\x00", req.Target, "\x00"} {
+		h.Write([]byte(part))
+	}
+	h.Write(req.Body)
+	return hex.EncodeToString(h.Sum(nil))
+}
+
+// record returns what is kept of an answer. One that is too long to be kept
+// whole is replaced by a problem that says so.
+func record(answer crrun.Answer) crwire.Record {
+	out := crwire.Record{Outcome: answer.Outcome}
+	if answer.Outcome != crwire.OutcomeDone {
+		return out
+	}
+	if len(answer.Body) > crwire.RecordMax {
+		answer = crrun.Reject(http.StatusConflict, reasonTooLong)
+		answer.Body, _ = json.Marshal(crwire.Problem{
+			Type: "about:blank", Title: "the request has run", Status: http.StatusConflict,
+			Outcome: crwire.OutcomeDone, Reason: reasonTooLong,
+		})
+	}
+	out.Status, out.Type, out.Body = answer.Status, answer.Header.Get("Content-Type"), answer.Body
+	return out
+}
+
+// recorded returns the answer that was kept for a key.
+func recorded(r *crwire.Record) crrun.Answer {
+	if r == nil || r.Outcome != crwire.OutcomeDone {
+		return crrun.Refuse(crwire.OutcomeUnknown, reasonRecorded)
+	}
+	header := http.Header{}
+	if r.Type != "" {
+		header.Set("Content-Type", r.Type)
+	}
+	return crrun.Answer{Status: r.Status, Header: header, Body: r.Body, Outcome: crwire.OutcomeDone, Load: -1}
+}
--- a/internal/cragent/flows.go
+++ b/internal/cragent/flows.go
@@ -38,7 +38,7 @@
 	}
 	d := &datagrams{
 		service: set.Service, zone: a.Settings.Zone, num: a.num.Load, draining: a.leaving,
-		room: func() bool { return true }, ahead: a.ahead, counters: newCounters(a.Registry),
+		room: a.Room, ahead: a.ahead, counters: newCounters(a.Registry),
 	}
 	if err := d.open(set.Datagram, keys); err != nil {
 		return err
--- /dev/null
+++ b/internal/cragent/requests_test.go
@@ -0,0 +1,259 @@
+package cragent_test
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"cardamomring.dev/internal/crfake"
+	"cardamomring.dev/internal/crrun"
+	"cardamomring.dev/internal/crwire"
+	"cardamomring.dev/pkg/crdoc"
+)
+
+// told is what an answer tells its caller.
+type told struct {
+	Outcome crwire.Outcome
+	Reason  string
+	Status  int
+	Body    string
+}
+
+func tell(a crrun.Answer) told {
+	out := told{Outcome: a.Outcome, Reason: a.Reason, Status: a.Status}
+	if a.Reason == "" {
+		out.Body = string(a.Body)
+	}
+	return out
+}
+
+func unknown(reason string) told {
+	return told{Outcome: crwire.OutcomeUnknown, Reason: reason, Status: http.StatusGatewayTimeout}
+}
+
+func notrun(reason string) told {
+	return told{Outcome: crwire.OutcomeNotrun, Reason: reason, Status: http.StatusServiceUnavailable}
+}
+
+func done(body string) told {
+	return told{Outcome: crwire.OutcomeDone, Status: http.StatusOK, Body: body}
+}
+
+const (
+	deposit   = "POST /deposits d by fake\n"
+	lookup    = "GET /bands  by fake\n"
+	faultTime = 400 * time.Millisecond
+)
+
+// pair is two agents, each with its backend server.
+type pair struct {
+	control  *control
+	backends [2]*crfake.Backend
+	agents   [2]*child
+	caller   *crrun.Caller
+}
+
+func startPair(t *testing.T, first crfake.Switches) *pair {
+	t.Helper()
+	return startPairWithin(t, faultTime, first)
+}
+
+func startPairWithin(t *testing.T, deadline time.Duration, first crfake.Switches) *pair {
+	t.Helper()
+	p := &pair{control: startControl(t, document(deadline)), caller: newCaller(t)}
+	p.backends[0] = startBackend(t, first)
+	p.backends[1] = startBackend(t, crfake.Switches{})
+	p.agents[0] = startAgent(t, "a0", p.backends[0].Bound(), p.control.addr())
+	p.agents[1] = startAgent(t, "a1", p.backends[1].Bound(), p.control.addr())
+	settleView(t, p.control, 2, p.agents[0].addr, p.agents[1].addr)
+	return p
+}
+
+func (p *pair) call(t *testing.T, req *crrun.Request) told {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+	defer cancel()
+	return tell(p.caller.Peer(ctx, p.agents[0].addr, req))
+}
+
+// warm earns retries.
+func (p *pair) warm(t *testing.T) {
+	t.Helper()
+	old := p.backends[0].State().Switches
+	p.backends[0].Set(crfake.Switches{})
+	for range 100 {
+		p.call(t, request("GET", "/bands", "", ""))
+	}
+	p.backends[0].Set(old)
+}
+
+func TestFaultsOfABackendServer(t *testing.T) {
+	cases := map[string]struct {
+		fault crfake.Fault
+		// deposits have no key, keyed ones do; lookups may be repeated.
+		deposit, keyed, lookup told
+		// runs are the runs of the deposits at the faulty server.
+		runs int
+	}{
+		"sheds":   {crfake.FaultShed, done(deposit), done(deposit), done(lookup), 0},
+		"frozen":  {crfake.FaultFrozen, unknown("timeout"), unknown("timeout"), unknown("timeout"), 0},
+		"late":    {crfake.FaultLate, unknown("timeout"), unknown("timeout"), unknown("timeout"), 2},
+		"crossed": {crfake.FaultCrossed, unknown("crossed"), unknown("crossed"), done(lookup), 2},
+		"cut":     {crfake.FaultCut, unknown("truncated"), unknown("truncated"), done(lookup), 2},
+		"reset":   {crfake.FaultReset, unknown("broken"), unknown("broken"), done(lookup), 0},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			p := startPair(t, crfake.Switches{Fault: c.fault, Late: crdoc.Duration(time.Minute)})
+			p.warm(t)
+			type results struct{ Deposit, Keyed, Again, Lookup told }
+			var got results
+			got.Lookup = p.call(t, request("GET", "/bands", "", ""))
+			got.Keyed = p.call(t, request("POST", "/deposits", "k", "d"))
+			got.Deposit = p.call(t, request("POST", "/deposits", "", "d"))
+			want := results{Lookup: c.lookup, Keyed: c.keyed, Deposit: c.deposit}
+			want.Again = c.keyed
+			if c.keyed.Outcome == crwire.OutcomeUnknown {
+				want.Again = unknown("recorded")
+			}
+			got.Again = p.call(t, request("POST", "/deposits", "k", "d"))
+			if diff := cmp.Diff(want, got); diff != "" {
+				t.Errorf("answers (-want +got):\n%s", diff)
+			}
+			if got := p.backends[0].Runs()["d"]; got != c.runs {
+				t.Errorf("the deposits ran %d times at the faulty server, want %d", got, c.runs)
+			}
+		})
+	}
+}
+
+func TestKeyRunsOnce(t *testing.T) {
+	p := startPair(t, crfake.Switches{})
+	got := []told{
+		p.call(t, request("POST", "/deposits", "k", "d")),
+		p.call(t, request("POST", "/deposits", "k", "d")),
+		p.call(t, request("POST", "/deposits", "k", "other")),
+		p.call(t, request("POST", "/deposits", "", "d")),
+	}
+	mismatch := told{Outcome: crwire.OutcomeNotrun, Reason: "mismatch", Status: http.StatusUnprocessableEntity}
+	if diff := cmp.Diff([]told{done(deposit), done(deposit), mismatch, done(deposit)}, got); diff != "" {
+		t.Errorf("answers (-want +got):\n%s", diff)
+	}
+	if diff := cmp.Diff(map[string]int{"d": 2}, p.backends[0].Runs()); diff != "" {
+		t.Errorf("runs (-want +got):\n%s", diff)
+	}
+}
+
+func TestHeldKeyIsUnknownAfterItsDeadline(t *testing.T) {
+	p := startPair(t, crfake.Switches{})
+	p.control.claim("k", request("POST", "/deposits", "k", "d"))
+	if diff := cmp.Diff(unknown("held"), p.call(t, request("POST", "/deposits", "k", "d"))); diff != "" {
+		t.Errorf("answer (-want +got):\n%s", diff)
+	}
+}
+
+func TestLongAnswerIsNotRepeatedInPart(t *testing.T) {
+	p := startPair(t, crfake.Switches{})
+	body := strings.Repeat("d", crwire.RecordMax)
+	p.call(t, request("POST", "/deposits", "k", body))
+	got := p.call(t, request("POST", "/deposits", "k", body))
+	if got.Status != http.StatusConflict || got.Outcome != crwire.OutcomeDone || len(got.Body) > crwire.RecordMax {
+		t.Errorf("answer is %d %s with %d bytes, want a conflict that says done", got.Status, got.Outcome, len(got.Body))
+	}
+	if got := p.backends[0].Runs()[body]; got != 1 {
+		t.Errorf("ran %d times, want once", got)
+	}
+}
+
+func TestWithoutControlNothingKeyedRuns(t *testing.T) {
+	backend := startBackend(t, crfake.Switches{})
+	control := startControl(t, document(faultTime))
+	agent := startAgent(t, "a0", backend.Bound(), control.addr())
+	settleView(t, control, 1, agent.addr)
+	control.server.CloseClientConnections()
+	control.server.Close()
+	caller := newCaller(t)
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+	defer cancel()
+	got := []told{
+		tell(caller.Peer(ctx, agent.addr, request("POST", "/deposits", "k", "d"))),
+		tell(caller.Peer(ctx, agent.addr, request("POST", "/deposits", "", "d"))),
+	}
+	if diff := cmp.Diff([]told{notrun("control"), done(deposit)}, got); diff != "" {
+		t.Errorf("answers (-want +got):\n%s", diff)
+	}
+}
+
+func TestClaimWhoseTimeIsOverDoesNotRun(t *testing.T) {
+	p := startPair(t, crfake.Switches{})
+	p.control.freeze(2 * faultTime)
+	got := p.call(t, request("POST", "/deposits", "k", "d"))
+	if got.Outcome != crwire.OutcomeNotrun || len(p.backends[0].Runs())+len(p.backends[1].Runs()) > 0 {
+		t.Errorf("%+v with runs %v, want not run", got, p.backends[0].Runs())
+	}
+}
+
+func TestKilledAgentLeavesNoFalseAnswer(t *testing.T) {
+	p := startPair(t, crfake.Switches{Time: crdoc.Duration(200 * time.Millisecond)})
+	answers := make(chan told)
+	go func() { answers <- p.call(t, request("POST", "/deposits", "k", "d")) }()
+	for p.backends[0].State().Under == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	p.agents[0].kill()
+	got := []told{<-answers}
+	p.agents[0] = p.agents[1]
+	got = append(got, p.call(t, request("POST", "/deposits", "k", "d")))
+	if diff := cmp.Diff([]told{unknown("broken"), unknown("held")}, got); diff != "" {
+		t.Errorf("answers before and after the crash (-want +got):\n%s", diff)
+	}
+	if n := p.backends[0].Runs()["d"] + p.backends[1].Runs()["d"]; n > 1 {
+		t.Errorf("ran %d times", n)
+	}
+}
+
+func TestCallerThatGoesAwayCancels(t *testing.T) {
+	p := startPairWithin(t, time.Hour, crfake.Switches{Time: crdoc.Duration(time.Hour)})
+	ctx, cancel := context.WithTimeout(t.Context(), time.Hour)
+	answers := make(chan crrun.Answer)
+	go func() { answers <- p.caller.Peer(ctx, p.agents[0].addr, request("GET", "/bands", "", "")) }()
+	for p.backends[0].State().Under == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	cancel()
+	<-answers
+	for p.backends[0].State().Under > 0 {
+		time.Sleep(time.Millisecond)
+	}
+}
+
+func TestFrozenAgentDoesNotRunOnAnOldClaim(t *testing.T) {
+	p := startPair(t, crfake.Switches{})
+	p.control.freeze(faultTime / 4)
+	answers := make(chan told)
+	go func() { answers <- p.call(t, request("POST", "/deposits", "k", "d")) }()
+	for !p.control.claimed("k") {
+		time.Sleep(time.Millisecond)
+	}
+	// The process stops with the claim under way and goes on when its time
+	// is over.
+	if err := p.agents[0].cmd.Process.Signal(syscall.SIGSTOP); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(2 * faultTime)
+	if err := p.agents[0].cmd.Process.Signal(syscall.SIGCONT); err != nil {
+		t.Fatal(err)
+	}
+	if got := <-answers; got.Outcome == crwire.OutcomeDone {
+		t.Errorf("answer is %+v, want one that hasn't run", got)
+	}
+	if got := p.backends[0].Count("d") + p.backends[1].Count("d"); got != 0 {
+		t.Errorf("ran %d times after the deadline", got)
+	}
+}
--- a/internal/cragent/run.go
+++ b/internal/cragent/run.go
@@ -2,14 +2,38 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"strings"
 	"time"
 
+	"cardamomring.dev/internal/cradmit"
 	"cardamomring.dev/internal/crrun"
 	"cardamomring.dev/internal/crwire"
+	"cardamomring.dev/pkg/crdoc"
 )
 
+// onceMax bounds a request that may not be repeated. It is shorter than the
+// shortest time that control keeps a claim.
+const onceMax = time.Minute
+
+// Reasons of the agent's refusals besides those of cradmit and crrun.
+const (
+	reasonService   = "service"
+	reasonClass     = "class"
+	reasonGone      = "gone"
+	reasonDraining  = "draining"
+	reasonPreempted = "preempted"
+	reasonFrozen    = "frozen"
+)
+
+// openRequests makes what requests need; call it before the first one.
+func (a *Agent) openRequests() {
+	a.others = newOthers()
+	a.gate = newGate(func() { a.requests.preemptions.Inc() })
+	a.requests = newRequests(a.Registry, a.gate.limit, a.gate.load)
+}
+
 // serveRun answers a run call of a balancer or another agent.
 func (a *Agent) serveRun(w http.ResponseWriter, r *http.Request) {
 	req, remain, err := crrun.FromPeer(r)
@@ -27,19 +51,126 @@
 	a.Serve(ctx, req).WritePeer(w, req.ID)
 }
 
-// Serve runs one request within its class's deadline, and says truthfully
-// what became of it.
+// Serve runs one request within its class's deadline, here or at another
+// agent, and says truthfully what became of it.
 func (a *Agent) Serve(ctx context.Context, req *crrun.Request) crrun.Answer {
 	doc := a.view.Load().Services[req.Service]
 	if doc == nil || req.Service != a.member.Service {
-		return crrun.Refuse(crwire.OutcomeNotrun, "service")
+		return a.requests.count("", crrun.Refuse(crwire.OutcomeNotrun, reasonService))
 	}
 	path, _, _ := strings.Cut(req.Target, "?")
 	class, ok := doc.Classify(req.Method, path)
 	if !ok {
-		return crrun.Reject(http.StatusNotFound, "class")
+		return a.requests.count("", crrun.Reject(http.StatusNotFound, reasonClass))
 	}
-	ctx, cancel := context.WithTimeout(ctx, time.Duration(class.Deadline))
+	ctx, cancel := bound(ctx, class)
 	defer cancel()
-	return a.caller.Backend(ctx, a.Settings.Agent.Backend, req, !class.Repeat)
+	answer := a.route(ctx, req, class)
+	answer.Load = a.gate.load()
+	return a.requests.count(class.Name, answer)
+}
+
+// bound sets the deadline of a class. A request that may not be repeated
+// isn't cancelled when its caller goes away: its outcome is still wanted.
+func bound(ctx context.Context, class crdoc.Class) (context.Context, context.CancelFunc) {
+	if class.Repeat {
+		return context.WithTimeout(ctx, class.Deadline.D())
+	}
+	end := time.Now().Add(min(class.Deadline.D(), onceMax))
+	if deadline, ok := ctx.Deadline(); ok && deadline.Before(end) {
+		end = deadline
+	}
+	return context.WithDeadline(context.WithoutCancel(ctx), end)
+}
+
+// route decides where a request runs: at a less loaded agent, here, or
+// elsewhere after it has not run here.
+func (a *Agent) route(ctx context.Context, req *crrun.Request, class crdoc.Class) crrun.Answer {
+	if req.Hops > 0 {
+		if a.state.Load() != int64(crwire.MemberActive) {
+			return crrun.Refuse(crwire.OutcomeNotrun, reasonDraining)
+		}
+		return a.here(ctx, req, class)
+	}
+	a.others.request()
+	tried := map[string]bool{}
+	answer, done := a.forward(ctx, req, class, tried)
+	if done {
+		return answer
+	}
+	answer = a.here(ctx, req, class)
+	if !again(answer, class) {
+		return answer
+	}
+	return a.elsewhere(ctx, req, class, answer, tried)
+}
+
+// again tells whether a request may be tried once more.
+func again(answer crrun.Answer, class crdoc.Class) bool {
+	if answer.Status == http.StatusUnprocessableEntity || answer.Reason == reasonGone {
+		return false
+	}
+	return answer.Outcome == crwire.OutcomeNotrun || answer.Outcome == crwire.OutcomeUnknown && class.Repeat
+}
+
+// here runs a request on the agent's own backend server.
+func (a *Agent) here(ctx context.Context, req *crrun.Request, class crdoc.Class) crrun.Answer {
+	if !class.Repeat && req.Key != "" {
+		return a.runClaimed(ctx, req, class)
+	}
+	return a.runHere(ctx, req, class)
+}
+
+// runHere runs a request when the gate lets it pass.
+func (a *Agent) runHere(ctx context.Context, req *crrun.Request, class crdoc.Class) crrun.Answer {
+	p, reason := a.gate.enter(ctx, class.Name)
+	if p == nil {
+		return crrun.Refuse(crwire.OutcomeNotrun, reason)
+	}
+	if over(ctx) {
+		a.gate.leave(p, cradmit.ResultCancelled)
+		return crrun.Refuse(crwire.OutcomeNotrun, reasonFrozen)
+	}
+	answer := a.caller.Backend(p.ctx, a.Settings.Agent.Backend, req, !class.Repeat)
+	if errors.Is(context.Cause(p.ctx), errPreempted) && answer.Outcome != crwire.OutcomeDone {
+		answer = crrun.Refuse(answer.Outcome, reasonPreempted)
+	}
+	a.gate.leave(p, result(answer))
+	a.requests.dropped(answer.Reason)
+	return answer
+}
+
+// over tells whether the deadline has passed by the clock. A process that
+// was frozen sees the clock before its timers have fired.
+func over(ctx context.Context) bool {
+	deadline, ok := ctx.Deadline()
+	return ctx.Err() != nil || ok && !time.Now().Before(deadline)
+}
+
+// result returns what an answer says about the backend server. An error
+// status is a whole answer to the caller, and a bad sign here: a server that
+// fails fast must not look like a fast one.
+func result(answer crrun.Answer) cradmit.Result {
+	switch answer.Reason {
+	case "":
+		if answer.Status >= http.StatusInternalServerError {
+			return cradmit.ResultBroken
+		}
+		return cradmit.ResultDone
+	case crrun.ReasonShed:
+		return cradmit.ResultShed
+	case crrun.ReasonTimeout:
+		return cradmit.ResultTimeout
+	case crrun.ReasonUnreachable:
+		return cradmit.ResultUnreachable
+	case crrun.ReasonCancelled, reasonPreempted, crrun.ReasonRequest:
+		return cradmit.ResultCancelled
+	default:
+		return cradmit.ResultBroken
+	}
+}
+
+// Room tells whether a new routine request would start at once.
+func (a *Agent) Room() bool {
+	return a.state.Load() == int64(crwire.MemberActive) && a.gate.room()
 }
--- /dev/null
+++ b/internal/crfake/fault.go
@@ -0,0 +1,25 @@
+package crfake
+
+//go:generate enumer -type=Fault -text -trimprefix=Fault -transform=lower -output=enum_gen.go
+
+// Fault is how a fake backend server misbehaves.
+type Fault int
+
+const (
+	// FaultNone answers in time.
+	FaultNone Fault = iota
+	// FaultShed refuses every request with 503 and Retry-After.
+	FaultShed
+	// FaultFrozen takes requests, runs none and answers none.
+	FaultFrozen
+	// FaultLate runs requests and answers after Switches.Late.
+	FaultLate
+	// FaultCrossed answers with the ID of another request.
+	FaultCrossed
+	// FaultCut ends each answer in the middle.
+	FaultCut
+	// FaultError runs nothing and answers 500.
+	FaultError
+	// FaultReset runs nothing and closes the connection.
+	FaultReset
+)
