--- a/internal/crfake/fault.go
+++ b/internal/crfake/fault.go
@@ -1,7 +1,5 @@
 package crfake
 
-//go:generate enumer -type=Fault -text -trimprefix=Fault -transform=lower -output=enum_gen.go
-
 // Fault is how a fake backend server misbehaves.
 type Fault int
 
