--- a/internal/cragent/agent.go
+++ b/internal/cragent/agent.go
@@ -7,6 +7,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -57,6 +58,12 @@
 	source *crfeed.Source
 	// hint asks for the feed where a later revision was seen.
 	hint func(source string, rev uint64)
+	// gate admits requests to the backend server.
+	gate *gate
+	// others are the other agents of the service.
+	others *others
+	// requests counts requests.
+	requests *requests
 }
 
 // Run serves until ctx ends; then it drains and stops.
@@ -68,7 +75,12 @@
 	a.caller = &crrun.Caller{Client: a.client}
 	a.view.Store(crfeed.Empty())
 	a.source = crfeed.NewSource(crfeed.Empty())
-	a.hint = func(string, uint64) {}
+	follower := &crfeed.Follower{
+		Name: a.Settings.Name, Client: a.client, Sources: a.Settings.Control,
+		Took: a.took, Failed: a.failed, Source: a.source,
+	}
+	a.hint = follower.Hint
+	a.openRequests()
 	if err := a.openFlows(); err != nil {
 		return err
 	}
@@ -81,7 +93,7 @@
 		Run: server.Bound(), Datagram: a.datagramAddr(), Weight: set.Weight,
 	}
 	loopCtx, cancel := context.WithCancel(context.Background())
-	a.start(loopCtx)
+	a.start(loopCtx, follower)
 	a.Ready(server.Bound())
 	<-ctx.Done()
 	err := a.drain(server)
@@ -91,12 +103,10 @@
 }
 
 // start runs the agent's loops until ctx ends.
-func (a *Agent) start(ctx context.Context) {
-	follower := &crfeed.Follower{
-		Client: a.client, Sources: a.Settings.Control, Took: a.took, Failed: a.failed,
-	}
+func (a *Agent) start(ctx context.Context, follower *crfeed.Follower) {
 	a.loops.Go(func() { follower.Run(ctx) })
 	a.loops.Go(func() { a.loop(ctx) })
+	a.loops.Go(func() { a.gate.loop(ctx) })
 }
 
 // drain tells control that the agent leaves and finishes what is under way.
@@ -118,10 +128,13 @@
 
 // took stores a later view.
 func (a *Agent) took(v *crwire.View) {
+	if doc := v.Services[a.member.Service]; doc != nil {
+		a.gate.configure(doc)
+	}
 	a.view.Store(v)
-	a.source.Reset(v)
 	if a.flows != nil {
 		a.flows.datagrams.took(v)
+		a.flows.watch(slices.Contains(v.Out, a.member.Zone))
 	}
 }
 
