--- a/cmd/cardamomring/args.go
+++ b/cmd/cardamomring/args.go
@@ -34,6 +34,7 @@
 	Agent    *roleArgs    `arg:"subcommand:agent" help:"run the agent of a backend server"`
 	Control  *roleArgs    `arg:"subcommand:control" help:"run a control instance"`
 	Backend  *backendArgs `arg:"subcommand:backend" help:"run a fake backend server for trials"`
+	Demo     *demoArgs    `arg:"subcommand:demo" help:"run a whole system in this process for a while"`
 	Fabric   *fabricArgs  `arg:"subcommand:fabric" help:"run a fake fabric that sprays datagrams over balancers, for trials"`
 	Check    *checkArgs   `arg:"subcommand:check" help:"check service documents and settings files, and start nothing"`
 	Call     *callArgs    `arg:"subcommand:call" help:"send requests to a service"`
@@ -83,6 +84,8 @@
 		return runRole(ctx, crdoc.RoleControl, a.Control.Config, errOut)
 	case a.Backend != nil:
 		return runBackend(ctx, a.Backend, errOut)
+	case a.Demo != nil:
+		return runDemo(ctx, a.Demo, out, errOut)
 	case a.Fabric != nil:
 		return runFabric(ctx, a.Fabric, errOut)
 	case a.Check != nil:
--- /dev/null
+++ b/examples/examples.go
@@ -0,0 +1,13 @@
+// Package examples holds the documents of the two customers that the demo and
+// the pages use.
+package examples
+
+import "embed"
+
+// Services are the service documents, in one folder for each customer.
+//
+//go:embed consortium spaarvarken
+var Services embed.FS
+
+// Zones are the availability zones of both customers.
+var Zones = []string{"neng-a", "neng-b", "neng-c", "leuven-a", "leuven-b", "gent-a", "gent-b"}
