Operators' verbs, their client, TLS between processes

Aim: teams drive the system by documents alone; a change is sent once however often its answer is lost, and each has an author that control has proven.

Weighed: passing a change of a certificate operator on with the author in a header was ruled out, because any process's certificate could then name any author; such a change is answered 503 with the leader's address and the client goes there. A token is passed on and checked again by the leader. A directory kept in version control holds old versions, so apply leaves a document alone that differs in nothing but the version, and -w writes the version in force into the file.

Change: pkg/croper (typed refusals, same ID again, follows the leader), verbs apply, diff, get, zone, status, audit with tables or JSON; crnet builds both sides of mutual TLS from settings; control lets only processes announce, claim and replicate, and operators by token or certificate change and read. Leases moved to crstate as a pure type with tests.

Outside: cragent and crbalancer make their client and server with TLS; crrun calls backend servers, which aren't ours, by plain HTTP also under TLS.

--- /dev/null
+++ b/cmd/cardamomring/apply.go
@@ -0,0 +1,135 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"regexp"
+
+	"cardamomring.dev/pkg/crdoc"
+	"cardamomring.dev/pkg/croper"
+)
+
+// applyArgs are the arguments of apply.
+type applyArgs struct {
+	operatorArgs
+	File  []string `arg:"-f,--file,required" placeholder:"FILE|DIR" help:"service documents, or directories of them"`
+	Write bool     `arg:"-w,--write" help:"set the version in each file to the one in force afterwards"`
+}
+
+// applied is what became of one document.
+type applied struct {
+	File    string `json:"file"`
+	Service string `json:"service"`
+	// Answer is applied, unchanged, or refused.
+	Answer   string `json:"answer"`
+	Version  uint64 `json:"version"`
+	Revision uint64 `json:"rev"`
+	Error    string `json:"error,omitempty"`
+}
+
+// runApply applies documents in the order of their files.
+func runApply(ctx context.Context, a *applyArgs, out, errOut io.Writer) int {
+	docs, findings, err := readDocuments(a.File)
+	if err == nil {
+		err = findings.Err()
+	}
+	if err != nil {
+		fmt.Fprintln(errOut, err)
+		return exitFailed
+	}
+	return runOperator(ctx, &a.operatorArgs, out, errOut, func(ctx context.Context, o *operator) int {
+		view, err := o.client.View(ctx)
+		if err != nil {
+			return o.fail(err)
+		}
+		return o.report(o.applyAll(ctx, docs, view, a.Write))
+	})
+}
+
+// applyAll applies each document; one that is refused doesn't stop the rest.
+func (o *operator) applyAll(ctx context.Context, docs []document, view *croper.View, write bool) []applied {
+	out := make([]applied, len(docs))
+	for i, d := range docs {
+		out[i] = o.apply(ctx, d, view)
+		if write && out[i].Error == "" {
+			if err := setVersion(d.file, out[i].Version); err != nil {
+				out[i].Error = err.Error()
+			}
+		}
+	}
+	return out
+}
+
+// apply applies one document, unless it is in force already.
+func (o *operator) apply(ctx context.Context, d document, view *croper.View) applied {
+	a := applied{File: d.file, Service: d.doc.Name, Answer: "unchanged", Revision: view.Revision}
+	if old := view.Services[d.doc.Name]; old != nil && sameBody(old, d.doc) {
+		a.Version = old.Version
+		return a
+	}
+	result, err := o.client.Apply(ctx, d.doc)
+	a.Answer, a.Version, a.Revision = "applied", result.Version, result.Revision
+	if err != nil {
+		a.Answer, a.Error = "refused", refusal(err, d.file)
+	}
+	return a
+}
+
+// report prints what became of the documents and returns the exit code.
+func (o *operator) report(all []applied) int {
+	code := exitOK
+	rows := [][]string{{"SERVICE", "ANSWER", "VERSION", "REVISION"}}
+	for _, a := range all {
+		rows = append(rows, []string{a.Service, a.Answer, fmt.Sprint(a.Version), fmt.Sprint(a.Revision)})
+		if a.Error != "" {
+			code = exitFailed
+			fmt.Fprintln(o.errOut, a.Error)
+		}
+	}
+	if o.Output == outputJSON {
+		return max(code, o.json(all))
+	}
+	return max(code, o.table(rows))
+}
+
+// refusal says why a document was refused, with the file at each finding.
+func refusal(err error, file string) string {
+	var invalid *croper.InvalidError
+	if errors.As(err, &invalid) {
+		return invalid.Findings.In(file).Error()
+	}
+	return fmt.Sprintf("%s: %v", file, err)
+}
+
+// sameBody reports whether two documents differ in nothing but the version.
+func sameBody(a, b *crdoc.Service) bool {
+	x, y := *a, *b
+	x.Version, y.Version = 0, 0
+	one, errOne := json.Marshal(x)
+	two, errTwo := json.Marshal(y)
+	return errOne == nil && errTwo == nil && bytes.Equal(one, two)
+}
+
+// versionField finds the version in a document's file.
+var versionField = regexp.MustCompile(`("version"\s*:\s*)\d+`)
+
+// setVersion writes a version into a document's file.
+func setVersion(file string, version uint64) error {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return fmt.Errorf("set the version: %w", err)
+	}
+	next := versionField.ReplaceAll(data, fmt.Appendf(nil, "${1}%d", version))
+	if bytes.Equal(data, next) {
+		return nil
+	}
+	if err := os.WriteFile(file, next, 0o644); err != nil {
+		return fmt.Errorf("set the version: %w", err)
+	}
+	return nil
+}
--- a/cmd/cardamomring/args.go
+++ b/cmd/cardamomring/args.go
@@ -36,6 +36,12 @@
 	Backend  *backendArgs `arg:"subcommand:backend" help:"run a fake backend server for trials"`
 	Check    *checkArgs   `arg:"subcommand:check" help:"check service documents and settings files, and start nothing"`
 	Keys     *keysArgs    `arg:"subcommand:keys" help:"make certificates and secrets"`
+	Apply    *applyArgs   `arg:"subcommand:apply" help:"apply service documents"`
+	Diff     *diffArgs    `arg:"subcommand:diff" help:"show what apply would change"`
+	Get      *getArgs     `arg:"subcommand:get" help:"print the service documents in force"`
+	Zone     *zoneArgs    `arg:"subcommand:zone" help:"take an availability zone out of service or bring it back"`
+	Status   *statusArgs  `arg:"subcommand:status" help:"show members, zones and the revision of each process"`
+	Audit    *auditArgs   `arg:"subcommand:audit" help:"print the audit trail of changes"`
 	Version  *versionArgs `arg:"subcommand:version" help:"print the version"`
 }
 
@@ -85,6 +91,26 @@
 		return runCheck(a.Check, out, errOut)
 	case a.Keys != nil:
 		return runKeys(a.Keys, errOut)
+	default:
+		return a.dispatchOperator(ctx, out, errOut)
+	}
+}
+
+// dispatchOperator runs an operators' verb, or prints the version.
+func (a *args) dispatchOperator(ctx context.Context, out, errOut io.Writer) int {
+	switch {
+	case a.Apply != nil:
+		return runApply(ctx, a.Apply, out, errOut)
+	case a.Diff != nil:
+		return runDiff(ctx, a.Diff, out, errOut)
+	case a.Get != nil:
+		return runGet(ctx, a.Get, out, errOut)
+	case a.Zone != nil:
+		return runZone(ctx, a.Zone, out, errOut)
+	case a.Status != nil:
+		return runStatus(ctx, a.Status, out, errOut)
+	case a.Audit != nil:
+		return runAudit(ctx, a.Audit, out, errOut)
 	default:
 		fmt.Fprintf(out, "cardamomring %s\n", version)
 		return exitOK
--- /dev/null
+++ b/cmd/cardamomring/audit.go
@@ -0,0 +1,36 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"time"
+)
+
+// auditArgs are the arguments of audit.
+type auditArgs struct {
+	operatorArgs
+	Before uint64 `arg:"--before" placeholder:"LINE" help:"print the lines before this one"`
+	Limit  int    `arg:"-n,--limit" default:"50" help:"print at most this many lines"`
+}
+
+// runAudit prints the audit trail, oldest first.
+func runAudit(ctx context.Context, a *auditArgs, out, errOut io.Writer) int {
+	return runOperator(ctx, &a.operatorArgs, out, errOut, func(ctx context.Context, o *operator) int {
+		lines, err := o.client.Audit(ctx, a.Before, a.Limit)
+		if err != nil {
+			return o.fail(err)
+		}
+		if o.Output == outputJSON {
+			return o.json(lines)
+		}
+		rows := [][]string{{"LINE", "TIME", "AUTHOR", "CHANGE", "SUBJECT", "FROM", "TO", "REVISION", "ANSWER"}}
+		for _, l := range lines {
+			rows = append(rows, []string{
+				fmt.Sprint(l.Seq), l.Time.Format(time.RFC3339), l.Author, l.Kind.String(), l.Subject,
+				fmt.Sprint(l.From), fmt.Sprint(l.To), fmt.Sprint(l.Revision), l.Code.String(),
+			})
+		}
+		return o.table(rows)
+	})
+}
--- /dev/null
+++ b/cmd/cardamomring/operator.go
@@ -0,0 +1,137 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"cardamomring.dev/pkg/crdoc"
+	"cardamomring.dev/pkg/croper"
+)
+
+// outputs of operators' verbs.
+const (
+	outputTable = "table"
+	outputJSON  = "json"
+)
+
+// operatorArgs are the arguments that operators' verbs share.
+type operatorArgs struct {
+	Control   []string      `arg:"--control,env:CARDAMOMRING_CONTROL" placeholder:"HOST:PORT" help:"control instances"`
+	TokenFile string        `arg:"--token-file,env:CARDAMOMRING_TOKEN_FILE" placeholder:"FILE" help:"file that holds the operator's token"`
+	Operator  string        `arg:"--operator,env:CARDAMOMRING_OPERATOR" placeholder:"NAME" help:"name to show where control admits every operator"`
+	Cert      string        `arg:"--cert" placeholder:"FILE" help:"operator's certificate, PEM"`
+	Key       string        `arg:"--key" placeholder:"FILE" help:"its private key, PEM"`
+	CA        string        `arg:"--ca,env:CARDAMOMRING_CA" placeholder:"FILE" help:"certificates that sign control's, PEM; calls TLS"`
+	Output    string        `arg:"-o,--output" default:"table" help:"table or json"`
+	Timeout   time.Duration `arg:"--timeout" default:"15s" help:"time to wait for a quorum"`
+}
+
+// operator is one run of an operators' verb.
+type operator struct {
+	*operatorArgs
+	client *croper.Client
+	out    io.Writer
+	errOut io.Writer
+}
+
+// runOperator runs a verb with a client; the verb returns the exit code.
+func runOperator(ctx context.Context, a *operatorArgs, out, errOut io.Writer, verb func(context.Context, *operator) int) int {
+	client, err := a.client()
+	if err != nil {
+		fmt.Fprintln(errOut, err)
+		return exitUsage
+	}
+	client.Open()
+	defer client.Close()
+	ctx, cancel := context.WithTimeout(ctx, a.Timeout)
+	defer cancel()
+	return verb(ctx, &operator{operatorArgs: a, client: client, out: out, errOut: errOut})
+}
+
+// client makes the client that the arguments describe.
+func (a *operatorArgs) client() (*croper.Client, error) {
+	if len(a.Control) == 0 {
+		return nil, errors.New("name the control instances with --control or CARDAMOMRING_CONTROL")
+	}
+	if a.Output != outputTable && a.Output != outputJSON {
+		return nil, fmt.Errorf("output %q: want table or json", a.Output)
+	}
+	client := &croper.Client{Control: a.Control, Operator: a.Operator}
+	if a.TokenFile != "" {
+		data, err := os.ReadFile(a.TokenFile)
+		if err != nil {
+			return nil, fmt.Errorf("read the token: %w", err)
+		}
+		client.Token = strings.TrimSpace(string(data))
+	}
+	return client, a.secure(client)
+}
+
+// fail reports an error and returns the exit code.
+func (o *operator) fail(err error) int {
+	fmt.Fprintln(o.errOut, err)
+	return exitFailed
+}
+
+// json writes a value as JSON.
+func (o *operator) json(v any) int {
+	enc := json.NewEncoder(o.out)
+	enc.SetIndent("", "  ")
+	if err := enc.Encode(v); err != nil {
+		return o.fail(err)
+	}
+	return exitOK
+}
+
+// table writes rows in columns; the first row is the head.
+func (o *operator) table(rows [][]string) int {
+	w := tabwriter.NewWriter(o.out, 0, 0, 2, ' ', 0)
+	for _, row := range rows {
+		fmt.Fprintln(w, strings.Join(row, "\t"))
+	}
+	if err := w.Flush(); err != nil {
+		return o.fail(err)
+	}
+	return exitOK
+}
+
+// document is a service document with its file.
+type document struct {
+	file string
+	doc  *crdoc.Service
+}
+
+// readDocuments reads service documents from files and directories and
+// returns every finding in them.
+func readDocuments(paths []string) ([]document, crdoc.Findings, error) {
+	files, err := listFiles(paths)
+	if err != nil {
+		return nil, nil, err
+	}
+	var docs []document
+	c := &checker{args: &checkArgs{Kind: crdoc.KindService}, services: map[string]*crdoc.Service{}}
+	for _, file := range files {
+		data, err := os.ReadFile(file)
+		if err != nil {
+			return nil, nil, fmt.Errorf("read a document: %w", err)
+		}
+		before := len(c.findings)
+		c.checkService(file, data)
+		if len(c.findings) > before {
+			continue
+		}
+		doc, err := crdoc.ParseService(data, nil)
+		if err != nil {
+			return nil, nil, err
+		}
+		docs = append(docs, document{file: file, doc: doc})
+	}
+	return docs, c.findings, nil
+}
--- /dev/null
+++ b/cmd/cardamomring/operator_tls.go
@@ -0,0 +1,22 @@
+package main
+
+import (
+	"errors"
+
+	"cardamomring.dev/internal/crnet"
+	"cardamomring.dev/pkg/crdoc"
+	"cardamomring.dev/pkg/croper"
+)
+
+// secure sets up the client's side of TLS, if the arguments name any.
+func (a *operatorArgs) secure(client *croper.Client) error {
+	if a.CA == "" {
+		if a.Cert != "" || a.Key != "" {
+			return errors.New("--cert and --key need --ca")
+		}
+		return nil
+	}
+	config, err := crnet.ClientTLS(&crdoc.TLS{Cert: a.Cert, Key: a.Key, CA: a.CA})
+	client.TLS = config
+	return err
+}
--- /dev/null
+++ b/cmd/cardamomring/script_signal_test.go
@@ -0,0 +1,67 @@
+package main
+
+import (
+	"os"
+	"regexp"
+	"slices"
+	"strconv"
+	"strings"
+	"syscall"
+
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+// times are the times of an audit trail.
+var times = regexp.MustCompile(`\d{4}-\d\d-\d\dT\d\d:\d\d:\d\dZ`)
+
+// mask writes the last output to a file with each time replaced by one of
+// the same length.
+func mask(ts *testscript.TestScript, neg bool, args []string) {
+	if neg || len(args) != 1 {
+		ts.Fatalf("usage: mask FILE")
+	}
+	text := times.ReplaceAllString(ts.ReadFile("stdout"), "2026-01-01T00:00:00Z")
+	ts.Check(os.WriteFile(ts.MkAbs(args[0]), []byte(text), 0o644))
+}
+
+// signals are the signals that a script sends by name.
+var signals = map[string]syscall.Signal{
+	"KILL": syscall.SIGKILL, "STOP": syscall.SIGSTOP, "CONT": syscall.SIGCONT,
+}
+
+// sendSignal sends a signal to the background commands that have an argument.
+func sendSignal(ts *testscript.TestScript, neg bool, args []string) {
+	if neg || len(args) != 2 {
+		ts.Fatalf("usage: signal KILL|STOP|CONT WORD")
+	}
+	found := false
+	for _, cmd := range ts.BackgroundCmds() {
+		if cmd.ProcessState == nil && slices.Contains(cmd.Args, args[1]) {
+			found = true
+			ts.Check(cmd.Process.Signal(signals[args[0]]))
+		}
+	}
+	if !found {
+		ts.Fatalf("no background command has the argument %s", args[1])
+	}
+}
+
+// countLines checks how many lines of files match a pattern.
+func countLines(ts *testscript.TestScript, neg bool, args []string) {
+	if neg || len(args) < 3 {
+		ts.Fatalf("usage: count PATTERN WANT FILE...")
+	}
+	re, err := regexp.Compile(args[0])
+	ts.Check(err)
+	n := 0
+	for _, file := range args[2:] {
+		for line := range strings.Lines(ts.ReadFile(file)) {
+			if re.MatchString(line) {
+				n++
+			}
+		}
+	}
+	if got := strconv.Itoa(n); got != args[1] {
+		ts.Fatalf("%s lines match %s, want %s", got, args[0], args[1])
+	}
+}
--- a/cmd/cardamomring/script_test.go
+++ b/cmd/cardamomring/script_test.go
@@ -24,6 +24,11 @@
 //	expect-status N PROGRAM ARG...
 //	                          runs a program that must exit with this code
 //	term WORD                 sends SIGTERM to the background commands with this argument
+//	mask FILE                 writes the last output with its times masked
+//	signal KILL|STOP|CONT WORD
+//	                          signals the background commands with this argument
+//	count PATTERN WANT FILE...
+//	                          counts the lines that match
 //	sum PATTERN WANT FILE...  adds up the first group of the matches
 func TestScripts(t *testing.T) {
 	testscript.Run(t, testscript.Params{
@@ -41,6 +46,9 @@
 			"expect-status": expectStatus,
 			"term":          terminate,
 			"sum":           sum,
+			"mask":          mask,
+			"signal":        sendSignal,
+			"count":         countLines,
 		},
 	})
 }
--- a/internal/cragent/agent.go
+++ b/internal/cragent/agent.go
@@ -62,7 +62,15 @@
 // Run serves until ctx ends; then it drains and stops.
 func (a *Agent) Run(ctx context.Context) error {
 	set := a.Settings.Agent
-	a.client = &crnet.Client{}
+	calling, err := crnet.ClientTLS(a.Settings.TLS)
+	if err != nil {
+		return err
+	}
+	listening, err := crnet.ServerTLS(a.Settings.TLS, true)
+	if err != nil {
+		return err
+	}
+	a.client = &crnet.Client{TLS: calling}
 	a.client.Open()
 	defer a.client.Close()
 	a.caller = &crrun.Caller{Client: a.client}
@@ -76,7 +84,7 @@
 	if err := a.openFlows(); err != nil {
 		return err
 	}
-	server := &crnet.Server{Addr: set.Run, Handler: http.HandlerFunc(a.serve)}
+	server := &crnet.Server{Addr: set.Run, Handler: http.HandlerFunc(a.serve), TLS: listening}
 	if err := server.Start(); err != nil {
 		return errors.Join(err, a.closeFlows())
 	}
@@ -88,7 +96,7 @@
 	a.start(loopCtx, follower)
 	a.Ready(server.Bound())
 	<-ctx.Done()
-	err := a.drain(server)
+	err = a.drain(server)
 	cancel()
 	a.loops.Wait()
 	return err
--- a/internal/crbalancer/balancer.go
+++ b/internal/crbalancer/balancer.go
@@ -54,7 +54,11 @@
 
 // Run serves until ctx ends; then it finishes the requests under way.
 func (b *Balancer) Run(ctx context.Context) error {
-	b.client = &crnet.Client{}
+	calling, err := crnet.ClientTLS(b.Settings.TLS)
+	if err != nil {
+		return err
+	}
+	b.client = &crnet.Client{TLS: calling}
 	b.client.Open()
 	defer b.client.Close()
 	b.caller = &crrun.Caller{Client: b.client}
--- a/internal/crcontrol/announce.go
+++ b/internal/crcontrol/announce.go
@@ -46,7 +46,7 @@
 			if !c.state.Holds(m) {
 				changed = append(changed, m)
 			} else if m.State != crwire.MemberGone {
-				c.leases.renew(m.Name, now)
+				c.leases.Renew(m.Name, now)
 			}
 		}
 	})
@@ -72,7 +72,7 @@
 		for i, m := range members {
 			out[i] = crwire.Announced{
 				Num:      c.state.Number(m.Name),
-				Lease:    c.leases.length.Milliseconds(),
+				Lease:    c.leases.Length.Milliseconds(),
 				Revision: c.state.Revision(),
 			}
 		}
@@ -86,7 +86,7 @@
 	var gone []crwire.Member
 	err := c.replica.Do(func() {
 		if s := c.replica.Status(); s.Leading && s.Fresh {
-			gone = c.leases.expired(c.state.Agents(), time.Now())
+			gone = c.leases.Expired(c.state.Agents(), time.Now())
 		}
 	})
 	if err != nil || len(gone) == 0 {
--- a/internal/crcontrol/change.go
+++ b/internal/crcontrol/change.go
@@ -51,8 +51,12 @@
 		c.writeResult(w, c.change(r.Context(), &change))
 	case status.Address == "" || r.Header.Get(headerForwarded) != "":
 		c.writeResult(w, unavailable(&crreplica.NotLeaderError{Leader: status.Address}, status.Address))
+	case r.TLS != nil && r.Header.Get(headerAuthorization) == "":
+		// A certificate proves the operator on this connection only, so the
+		// operator's client goes to the leader by itself.
+		c.writeResult(w, unavailable(&crreplica.NotLeaderError{Leader: status.Address}, status.Address))
 	default:
-		c.forwardChange(w, r, status.Address, author, body)
+		c.forwardChange(w, r, status.Address, body)
 	}
 }
 
@@ -88,7 +92,7 @@
 }
 
 // forwardChange hands a change to the leader and returns its answer.
-func (c *Control) forwardChange(w http.ResponseWriter, r *http.Request, leader, author string, body []byte) {
+func (c *Control) forwardChange(w http.ResponseWriter, r *http.Request, leader string, body []byte) {
 	ctx, cancel := context.WithTimeout(r.Context(), forwardTimeout)
 	defer cancel()
 	out, err := http.NewRequestWithContext(ctx, http.MethodPost, c.client.URL(leader, "/change"), bytes.NewReader(body))
@@ -97,7 +101,8 @@
 		return
 	}
 	out.Header.Set("Content-Type", "application/json")
-	out.Header.Set(headerForwarded, author)
+	out.Header.Set(headerForwarded, c.Settings.Name)
+	out.Header.Set(headerOperator, r.Header.Get(headerOperator))
 	out.Header.Set(headerAuthorization, r.Header.Get(headerAuthorization))
 	resp, err := c.client.Do(out)
 	if err != nil {
--- a/internal/crcontrol/control.go
+++ b/internal/crcontrol/control.go
@@ -53,7 +53,7 @@
 	followers *followers
 	// state and leases are touched in the replica's goroutine only.
 	state  *crstate.State
-	leases *leases
+	leases *crstate.Leases
 	status crreplica.Status
 
 	announces *batcher[crwire.Member, crwire.Announced]
@@ -73,12 +73,18 @@
 	life, cancel := context.WithCancel(ctx)
 	defer cancel()
 	c.life = life
-	c.open()
+	if err := c.open(); err != nil {
+		return err
+	}
 	defer c.client.Close()
 	if err := c.replica.Open(life); err != nil {
 		return err
 	}
-	server := &crnet.Server{Addr: c.Settings.Replica.Listen, Handler: c.routes()}
+	protection, err := crnet.ServerTLS(c.Settings.TLS, false)
+	if err != nil {
+		return err
+	}
+	server := &crnet.Server{Addr: c.Settings.Replica.Listen, Handler: c.routes(), TLS: protection}
 	if err := server.Start(); err != nil {
 		return err
 	}
@@ -92,19 +98,23 @@
 	cancel()
 	stopCtx, stop := context.WithTimeout(context.Background(), stopGrace)
 	defer stop()
-	err := server.Stop(stopCtx)
+	err = server.Stop(stopCtx)
 	c.loops.Wait()
 	return errors.Join(failure, err)
 }
 
 // open makes the instance's parts.
-func (c *Control) open() {
+func (c *Control) open() error {
+	protection, err := crnet.ClientTLS(c.Settings.TLS)
+	if err != nil {
+		return err
+	}
 	c.state = crstate.New()
 	c.source = crfeed.NewSource(crfeed.Empty())
 	c.metrics = newMetrics(c.Registry)
 	c.followers = newFollowers()
-	c.leases = newLeases(c.leaseTime())
-	c.client = &crnet.Client{}
+	c.leases = crstate.NewLeases(c.leaseTime())
+	c.client = &crnet.Client{TLS: protection}
 	c.client.Open()
 	c.failed = make(chan error, 1)
 	c.announces = newBatcher(c.commitMembers)
@@ -113,7 +123,9 @@
 	c.replica = &crreplica.Replica{
 		Settings: c.Settings.Replica, Client: c.client,
 		Apply: c.apply, Snapshot: c.snapshot, Restore: c.restore, Changed: c.changed,
+		Registry: c.Registry, Logf: c.Logf,
 	}
+	return nil
 }
 
 // start runs the instance's loops until its life ends.
@@ -149,18 +161,26 @@
 // routes returns the instance's HTTP calls.
 func (c *Control) routes() http.Handler {
 	mux := http.NewServeMux()
-	mux.Handle("GET /feed", c.feed())
-	mux.HandleFunc("GET /status", c.serveStatus)
-	mux.HandleFunc("GET /view", c.serveView)
-	mux.HandleFunc("GET /audit", c.serveAudit)
 	mux.HandleFunc("POST /change", c.serveChange)
-	mux.HandleFunc("POST /announce", c.serveAnnounce)
-	mux.HandleFunc("POST /claim", c.serveClaim)
-	mux.HandleFunc("POST /settle", c.serveSettle)
-	mux.HandleFunc("POST "+pathAnnounces, c.serveAnnounces)
-	mux.HandleFunc("POST "+pathClaims, c.serveClaims)
-	mux.HandleFunc("POST "+pathSettles, c.serveSettles)
-	mux.Handle("/quorum/", c.replica.Routes())
+	for path, serve := range map[string]http.HandlerFunc{
+		"GET /feed":   c.feed().ServeHTTP,
+		"GET /view":   c.serveView,
+		"GET /audit":  c.serveAudit,
+		"GET /status": c.serveStatus,
+	} {
+		mux.HandleFunc(path, c.forReaders(serve))
+	}
+	for path, serve := range map[string]http.HandlerFunc{
+		"POST /announce":        c.serveAnnounce,
+		"POST /claim":           c.serveClaim,
+		"POST /settle":          c.serveSettle,
+		"POST " + pathAnnounces: c.serveAnnounces,
+		"POST " + pathClaims:    c.serveClaims,
+		"POST " + pathSettles:   c.serveSettles,
+		"/quorum/":              c.replica.Routes().ServeHTTP,
+	} {
+		mux.HandleFunc(path, c.forProcesses(serve))
+	}
 	return mux
 }
 
--- a/internal/crcontrol/machine.go
+++ b/internal/crcontrol/machine.go
@@ -22,8 +22,8 @@
 	if reply.Delta == nil {
 		return reply
 	}
-	c.leases.apply(reply.Delta.Members, time.Now())
-	c.metrics.agents.Set(float64(len(c.leases.until)))
+	c.leases.Apply(reply.Delta.Members, time.Now())
+	c.metrics.agents.Set(float64(c.leases.Len()))
 	if err := c.source.Add(reply.Delta); err != nil {
 		c.source.Reset(c.state.View())
 	}
@@ -40,7 +40,7 @@
 		return err
 	}
 	c.state = state
-	c.leases.grantAll(state.Agents(), time.Now())
+	c.leases.GrantAll(state.Agents(), time.Now())
 	c.source.Reset(state.View())
 	return nil
 }
@@ -53,10 +53,7 @@
 	c.status = s
 	led := was.Leading && was.Fresh && was.Term == s.Term
 	if s.Leading && s.Fresh && !led {
-		c.leases.grantAll(c.state.Agents(), time.Now())
-	}
-	if s.Leading != was.Leading || s.Leader != was.Leader {
-		c.Logf("term %d: leader is %d", s.Term, s.Leader)
+		c.leases.GrantAll(c.state.Agents(), time.Now())
 	}
 	if s.Fresh != was.Fresh {
 		c.Logf("contact with the quorum: %t", s.Fresh)
--- a/internal/crcontrol/metrics.go
+++ b/internal/crcontrol/metrics.go
@@ -14,6 +14,7 @@
 	feedBytes prometheus.Counter
 	renewals  prometheus.Counter
 	expired   prometheus.Counter
+	denied    prometheus.Counter
 	skipped   prometheus.Counter
 	agents    prometheus.Gauge
 	leading   prometheus.Gauge
@@ -30,13 +31,14 @@
 		feedBytes: counter("feed_bytes_total", "Bytes of the feed's answers."),
 		renewals:  counter("renewals_total", "Announcements of agents that the leader took."),
 		expired:   counter("leases_expired_total", "Agents that did not renew their lease."),
+		denied:    counter("denied_total", "Calls refused for their credentials."),
 		skipped:   counter("entries_skipped_total", "Entries of the log that could not be read."),
 		agents:    gauge("agents", "Agents that hold a lease."),
 		leading:   gauge("leading", "1 while this instance leads."),
 		fresh:     gauge("fresh", "1 while this instance has contact with the quorum."),
 		term:      gauge("term", "The current term."),
 	}
-	r.MustRegister(m.changes, m.claims, m.feeds, m.feedBytes, m.renewals, m.expired, m.skipped,
+	r.MustRegister(m.changes, m.claims, m.feeds, m.feedBytes, m.renewals, m.expired, m.denied, m.skipped,
 		m.agents, m.leading, m.fresh, m.term)
 	return m
 }
--- a/internal/crnet/client.go
+++ b/internal/crnet/client.go
@@ -60,6 +60,10 @@
 	return "http://" + addr + path
 }
 
+// PlainURL returns the URL of a path on a process that isn't ours, which
+// speaks plain HTTP.
+func PlainURL(addr, path string) string { return "http://" + addr + path }
+
 // Do sends a request.
 func (c *Client) Do(r *http.Request) (*http.Response, error) { return c.http.Do(r) }
 
--- a/internal/crnet/server.go
+++ b/internal/crnet/server.go
@@ -9,6 +9,8 @@
 	"crypto/tls"
 	"errors"
 	"fmt"
+	"io"
+	"log"
 	"net"
 	"net/http"
 	"time"
@@ -41,7 +43,11 @@
 		listener = tls.NewListener(listener, s.TLS)
 	}
 	s.listener = listener
-	s.server = &http.Server{Handler: s.Handler, ReadHeaderTimeout: headerTimeout}
+	s.server = &http.Server{
+		Handler: s.Handler, ReadHeaderTimeout: headerTimeout,
+		// What a stranger sends is no change of state, so it makes no line.
+		ErrorLog: log.New(io.Discard, "", 0),
+	}
 	s.done = make(chan error, 1)
 	go s.run()
 	return nil
--- a/internal/crrun/caller.go
+++ b/internal/crrun/caller.go
@@ -59,7 +59,7 @@
 // twice goes on a connection of its own: it can't meet an idle connection
 // that the server is closing.
 func (c *Caller) Backend(ctx context.Context, addr string, req *Request, once bool) Answer {
-	r, err := req.plain(ctx, c.Client.URL(addr, req.Target))
+	r, err := req.plain(ctx, crnet.PlainURL(addr, req.Target))
 	if err != nil {
 		return unsent(err)
 	}
--- a/internal/crstate/change.go
+++ b/internal/crstate/change.go
@@ -83,7 +83,7 @@
 	if doc.Version != current {
 		return nil, s.conflict(&doc, current)
 	}
-	if found = s.clashes(&doc); len(found) > 0 {
+	if found = doc.CheckAgainst(sortedServices(s.Services)); len(found) > 0 {
 		return nil, invalid(found, current)
 	}
 	doc.Version++
@@ -107,21 +107,6 @@
 	return crwire.Result{Code: crwire.CodeConflict, Version: current, Winner: winner, Text: text}
 }
 
-// clashes reports addresses and host names that another service has.
-func (s *State) clashes(doc *crdoc.Service) crdoc.Findings {
-	var f crdoc.Findings
-	for _, other := range sortedServices(s.Services) {
-		if other.Name == doc.Name {
-			continue
-		}
-		if other.Address == doc.Address {
-			f.Add("address", "%s is the address of service %s", doc.Address, other.Name)
-		}
-		f = append(f, sharedHosts(doc, other)...)
-	}
-	return f
-}
-
 // applyZone takes a zone out or brings it back. A zone that already is so
 // stays so, at the same revision.
 func (s *State) applyZone(c *crwire.Change, found crdoc.Findings, line *crwire.Audit) (*crwire.Delta, crwire.Result) {
--- a/internal/crstate/service.go
+++ b/internal/crstate/service.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"fmt"
 	"maps"
 	"slices"
 
@@ -16,20 +15,6 @@
 	})
 }
 
-// sharedHosts reports the host names of doc that also select other.
-func sharedHosts(doc, other *crdoc.Service) crdoc.Findings {
-	var f crdoc.Findings
-	for i, host := range doc.Hosts {
-		if host == other.Name || slices.Contains(other.Hosts, host) {
-			f.Add(fmt.Sprintf("hosts[%d]", i), "%s selects service %s", host, other.Name)
-		}
-	}
-	if slices.Contains(other.Hosts, doc.Name) {
-		f.Add("name", "%s is a host name of service %s", doc.Name, other.Name)
-	}
-	return f
-}
-
 // setZone takes a zone out or in, and returns whether that changed it.
 func (s *State) setZone(zone string, out bool) bool {
 	i, isOut := slices.BinarySearch(s.Out, zone)
--- a/pkg/crdoc/settings.go
+++ b/pkg/crdoc/settings.go
@@ -122,6 +122,8 @@
 	// Lease is how long a silent agent stays a member.
 	Lease Duration `json:"lease,omitempty"`
 	// Tokens maps an operator's name to the SHA-256 of the token, in
-	// hexadecimal. Empty admits every operator.
+	// hexadecimal. An operator's certificate, whose common name begins with
+	// "operator.", does as well. Without tokens and without TLS every
+	// operator is admitted, marked as unverified.
 	Tokens map[string]string `json:"tokens,omitempty"`
 }
--- /dev/null
+++ b/pkg/croper/client_test.go
@@ -0,0 +1,110 @@
+package croper_test
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"cardamomring.dev/internal/crwire"
+	"cardamomring.dev/pkg/crdoc"
+	"cardamomring.dev/pkg/croper"
+)
+
+// instance answers each change as answer says and notes its ID.
+func instance(t *testing.T, ids *[]string, answer func(n int) (drop bool, result crwire.Result)) string {
+	t.Helper()
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		var change crwire.Change
+		if err := json.NewDecoder(r.Body).Decode(&change); err != nil {
+			t.Error(err)
+		}
+		*ids = append(*ids, change.ID)
+		drop, result := answer(len(*ids))
+		if drop {
+			panic(http.ErrAbortHandler)
+		}
+		if err := json.NewEncoder(w).Encode(result); err != nil {
+			t.Error(err)
+		}
+	}))
+	t.Cleanup(server.Close)
+	return strings.TrimPrefix(server.URL, "http://")
+}
+
+// client returns a client of instances.
+func client(t *testing.T, addrs ...string) *croper.Client {
+	t.Helper()
+	c := &croper.Client{Control: addrs}
+	c.Open()
+	t.Cleanup(c.Close)
+	return c
+}
+
+func TestLostAnswerIsAskedForAgainUnderOneID(t *testing.T) {
+	var ids []string
+	addr := instance(t, &ids, func(n int) (bool, crwire.Result) {
+		return n < 3, crwire.Result{Version: 7}
+	})
+	result, err := client(t, addr).Apply(t.Context(), &crdoc.Service{Name: "s"})
+	if err != nil || result.Version != 7 {
+		t.Errorf("result %+v, error %v", result, err)
+	}
+	if len(ids) != 3 || ids[0] != ids[1] || ids[1] != ids[2] {
+		t.Errorf("IDs %q", ids)
+	}
+}
+
+func TestClientFollowsTheLeader(t *testing.T) {
+	var asked, led []string
+	leader := instance(t, &led, func(int) (bool, crwire.Result) { return false, crwire.Result{Version: 1} })
+	other := instance(t, &asked, func(int) (bool, crwire.Result) {
+		return false, crwire.Result{Code: crwire.CodeUnavailable, Leader: leader}
+	})
+	if _, err := client(t, other).Apply(t.Context(), &crdoc.Service{Name: "s"}); err != nil {
+		t.Error(err)
+	}
+	if len(asked) != 1 || len(led) != 1 {
+		t.Errorf("%d calls to the other, %d to the leader", len(asked), len(led))
+	}
+}
+
+func TestRefusalsAreTyped(t *testing.T) {
+	var ids []string
+	results := []crwire.Result{
+		{Code: crwire.CodeConflict, Version: 3, Winner: "ann", Text: "version 3 by ann is in force"},
+		{Code: crwire.CodeInvalid, Findings: []crdoc.Finding{{Place: "address", Text: "is taken"}}},
+		{Code: crwire.CodeDenied, Text: "no token"},
+	}
+	addr := instance(t, &ids, func(n int) (bool, crwire.Result) { return false, results[n-1] })
+	c := client(t, addr)
+	var got []string
+	for range results {
+		_, err := c.Apply(t.Context(), &crdoc.Service{Name: "s"})
+		got = append(got, err.Error())
+	}
+	want := []string{"s: conflict: version 3 by ann is in force", "s: address: is taken", "denied: no token"}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("errors (-want +got):\n%s", diff)
+	}
+}
+
+func TestNoQuorumIsNotTakenForAnAnswer(t *testing.T) {
+	var ids []string
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	addr := instance(t, &ids, func(n int) (bool, crwire.Result) {
+		if n == 3 {
+			cancel()
+		}
+		return false, crwire.Result{Code: crwire.CodeUnavailable}
+	})
+	if _, err := client(t, addr).Zone(ctx, "z", true); !errors.Is(err, croper.ErrUnreachable) {
+		t.Errorf("error %v", err)
+	}
+}
