--- a/internal/cragent/agent.go
+++ b/internal/cragent/agent.go
@@ -7,6 +7,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -57,6 +58,12 @@
 	source *crfeed.Source
 	// hint asks for the feed where a later revision was seen.
 	hint func(source string, rev uint64)
+	// gate admits requests to the backend server.
+	gate *gate
+	// others are the other agents of the service.
+	others *others
+	// requests counts requests.
+	requests *requests
 }
 
 // Run serves until ctx ends; then it drains and stops.
@@ -81,6 +88,7 @@
 		Took: a.took, Failed: a.failed, Source: a.source,
 	}
 	a.hint = follower.Hint
+	a.openRequests()
 	if err := a.openFlows(); err != nil {
 		return err
 	}
@@ -106,6 +114,7 @@
 func (a *Agent) start(ctx context.Context, follower *crfeed.Follower) {
 	a.loops.Go(func() { follower.Run(ctx) })
 	a.loops.Go(func() { a.loop(ctx) })
+	a.loops.Go(func() { a.gate.loop(ctx) })
 }
 
 // drain tells control that the agent leaves and finishes what is under way.
@@ -127,9 +136,13 @@
 
 // took stores a later view.
 func (a *Agent) took(v *crwire.View) {
+	if doc := v.Services[a.member.Service]; doc != nil {
+		a.gate.configure(doc)
+	}
 	a.view.Store(v)
 	if a.flows != nil {
 		a.flows.datagrams.took(v)
+		a.flows.watch(slices.Contains(v.Out, a.member.Zone))
 	}
 }
 
