--- a/internal/crquorum/found.go
+++ b/internal/crquorum/found.go
@@ -29,23 +29,38 @@
 	return ok
 }
 
-// onHello pledges to join the sender's group alone, unless this instance holds
-// a log or hears a leader.
+// onHello pledges to join the sender's group alone, unless this instance hears
+// a leader. An instance with a log answers with its own group instead.
 func (n *Node) onHello(m Message) {
 	heard := n.leader != 0 && n.leaderAlive()
-	if !n.blank() || heard || !n.isFounder(m.From) {
+	if n.blank() && (heard || !n.isFounder(m.From)) {
 		return
 	}
-	if n.hard.Cluster != m.Life {
-		n.hard.Cluster = m.Life
+	group := m.Life
+	if m.Cluster != 0 {
+		// The sender has learnt that there is a group already.
+		group = m.Cluster
+	}
+	if n.blank() && n.hard.Cluster != group {
+		n.hard.Cluster = group
 		n.hardChanged = true
 	}
-	n.send(Message{Kind: KindPledge, To: m.From})
+	n.send(Message{Kind: KindPledge, To: m.From, Index: n.log.last()})
 }
 
-// onPledge notes that an instance waits for this one's group.
+// onPledge notes that an instance waits for this one's group, or that there is
+// a group with a log, which this instance then waits for.
 func (n *Node) onPledge(m Message) error {
-	if !n.blank() || !n.isFounder(n.ID) || m.Cluster != n.Life {
+	if !n.blank() || !n.isFounder(n.ID) {
+		return nil
+	}
+	if m.Index > 0 {
+		delete(n.pledges, m.From)
+		n.hardChanged = n.hardChanged || n.hard.Cluster != m.Cluster
+		n.hard.Cluster = m.Cluster
+		return nil
+	}
+	if m.Cluster != n.Life {
 		return nil
 	}
 	n.pledges[m.From] = m.Life
--- a/internal/crquorum/lead.go
+++ b/internal/crquorum/lead.go
@@ -99,6 +99,9 @@
 		}
 		return
 	}
+	if p.snapshot != 0 {
+		p.snapshot, p.next = 0, p.match+1
+	}
 	prev := p.next - 1
 	if _, ok := n.log.term(prev); !ok {
 		n.sendSnapshot(id, p)
@@ -154,6 +157,10 @@
 	if n.phase != leading || p == nil {
 		return
 	}
+	if p.life != m.Life && p.life != 0 && m.Echo <= p.acked {
+		// A late answer of a disk that was lost.
+		return
+	}
 	if p.life != m.Life {
 		*p = progress{life: m.Life, next: n.log.last() + 1, probing: true}
 	}
--- a/internal/crquorum/message.go
+++ b/internal/crquorum/message.go
@@ -59,8 +59,8 @@
 	KindSnapshot
 	// KindHello asks an instance to join the group that the sender founds.
 	KindHello
-	// KindPledge answers a hello: the instance has no log and waits for the
-	// sender's group alone.
+	// KindPledge answers a hello: without a log the instance now waits for
+	// the sender's group alone; with one, Cluster names the group that is.
 	KindPledge
 	// KindTakeover asks the receiver to stand for election at once.
 	KindTakeover
@@ -77,7 +77,7 @@
 	// Life is the incarnation of the sender's disk.
 	Life uint64 `json:"life"`
 	Term uint64 `json:"term"`
-	// Index is the entry before Entries, the candidate's last entry, or the
+	// Index is the entry before Entries, the sender's last entry, or the
 	// entry that an answer is about.
 	Index uint64 `json:"index,omitempty"`
 	// Prev is the term of the entry at Index, or at Hint.
