--- a/internal/crquorum/config.go
+++ b/internal/crquorum/config.go
@@ -71,7 +71,8 @@
 
 // quorum returns the highest value that a majority of the voters has reached.
 func (c Config) quorum(value func(id uint64, m Member) uint64) uint64 {
-	var values []uint64
+	var buf [8]uint64
+	values := buf[:0]
 	for id, m := range c.Members {
 		if m.Role == RoleVoter {
 			values = append(values, value(id, m))
--- /dev/null
+++ b/internal/crquorum/node_test.go
@@ -0,0 +1,186 @@
+package crquorum_test
+
+import (
+	"errors"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"cardamomring.dev/internal/crquorum"
+)
+
+// life returns the incarnation of an instance's first disk.
+func life(id uint64) uint64 { return 100 + id }
+
+// newNode returns instance 1 of three, with entries of the given terms after
+// the configuration.
+func newNode(t *testing.T, terms ...uint64) *crquorum.Node {
+	t.Helper()
+	config := crquorum.Config{Members: map[uint64]crquorum.Member{}}
+	for id := uint64(1); id <= 3; id++ {
+		config.Members[id] = crquorum.Member{Life: life(id)}
+	}
+	snap := &crquorum.Snapshot{Index: 1, Term: 1, Config: config}
+	hard, entries := crquorum.Hard{Term: 1, Cluster: life(1)}, []crquorum.Entry(nil)
+	for i, term := range terms {
+		entries = append(entries, crquorum.Entry{Index: uint64(i) + 2, Term: term})
+		hard.Term = term
+	}
+	n := &crquorum.Node{ID: 1, Life: life(1), Rand: func(uint64) uint64 { return 0 }}
+	if err := n.Open(hard, snap, entries); err != nil {
+		t.Fatal(err)
+	}
+	return n
+}
+
+// from returns a message of another instance in the current term.
+func from(n *crquorum.Node, id uint64, m crquorum.Message) crquorum.Message {
+	m.From, m.To, m.Life, m.Cluster, m.Tick = id, 1, max(m.Life, life(id)), life(1), 1
+	if m.Term == 0 {
+		m.Term = n.Status().Term
+	}
+	return m
+}
+
+// step hands a node a message and syncs what follows.
+func step(t *testing.T, n *crquorum.Node, m crquorum.Message) crquorum.Effects {
+	t.Helper()
+	if err := n.Step(m); err != nil {
+		t.Fatal(err)
+	}
+	e := n.Take()
+	n.Synced()
+	return e
+}
+
+// elect makes a node the leader of the next term.
+func elect(t *testing.T, n *crquorum.Node) {
+	t.Helper()
+	n.Tick(crquorum.ElectionDefault)
+	n.Take()
+	n.Synced()
+	step(t, n, from(n, 2, crquorum.Message{Kind: crquorum.KindProbed, Term: n.Status().Term + 1}))
+	step(t, n, from(n, 2, crquorum.Message{Kind: crquorum.KindVoted}))
+	if !n.Status().Leading {
+		t.Fatalf("not elected: %+v", n.Status())
+	}
+}
+
+// acked is an acknowledgement up to an index.
+func acked(n *crquorum.Node, id, index uint64) crquorum.Message {
+	return from(n, id, crquorum.Message{Kind: crquorum.KindAppended, Index: index, Echo: n.Now()})
+}
+
+// wantCommit fails unless the commit index is as wanted.
+func wantCommit(t *testing.T, n *crquorum.Node, want uint64) {
+	t.Helper()
+	if got := n.Status().Commit; got != want {
+		t.Errorf("commit %d, want %d", got, want)
+	}
+}
+
+// A leader's own copy counts only after its sync.
+func TestNodeOwnSync(t *testing.T) {
+	n := newNode(t)
+	elect(t, n)
+	step(t, n, acked(n, 2, 2))
+	wantCommit(t, n, 2)
+	if _, _, err := n.Propose([]byte("x")); err != nil {
+		t.Fatal(err)
+	}
+	n.Take()
+	if err := n.Step(acked(n, 2, 3)); err != nil {
+		t.Fatal(err)
+	}
+	wantCommit(t, n, 2)
+	n.Synced()
+	wantCommit(t, n, 3)
+}
+
+// An entry of an older term is not committed by count (figure 8 of the paper).
+func TestNodeOlderTerm(t *testing.T) {
+	n := newNode(t, 2)
+	elect(t, n)
+	step(t, n, acked(n, 2, 2))
+	step(t, n, acked(n, 3, 2))
+	wantCommit(t, n, 1)
+	step(t, n, acked(n, 3, 3))
+	wantCommit(t, n, 3)
+}
+
+// A late snapshot doesn't drop entries that were acknowledged after it.
+func TestNodeLateSnapshot(t *testing.T) {
+	n := newNode(t, 2, 2, 2)
+	snap := &crquorum.Snapshot{Index: 3, Term: 2}
+	step(t, n, from(n, 2, crquorum.Message{Kind: crquorum.KindSnapshot, Snapshot: snap}))
+	wantCommit(t, n, 3)
+	if got := n.Status().Last; got != 4 {
+		t.Errorf("the log ends at %d, want 4", got)
+	}
+}
+
+// One membership change at a time, and none before the term's first commit.
+func TestNodeOneChange(t *testing.T) {
+	n := newNode(t)
+	elect(t, n)
+	_, _, early := n.Remove(3)
+	step(t, n, acked(n, 2, 2))
+	_, _, first := n.Remove(3)
+	_, _, second := n.AddLearner(4, "host:4")
+	got := []bool{errors.Is(early, crquorum.ErrChanging), first == nil, errors.Is(second, crquorum.ErrChanging)}
+	if d := cmp.Diff([]bool{true, true, true}, got); d != "" {
+		t.Error(d)
+	}
+}
+
+// role returns an instance's role and incarnation in the latest configuration.
+func role(n *crquorum.Node, id uint64) crquorum.Member { return n.Status().Config.Members[id] }
+
+// A voter that answers with another incarnation is demoted, and promoted only
+// when it holds the log; late answers of the lost disk change nothing.
+func TestNodeLostDisk(t *testing.T) {
+	n := newNode(t)
+	elect(t, n)
+	step(t, n, acked(n, 2, 2))
+	late := acked(n, 3, 2)
+	n.Tick(crquorum.HeartbeatDefault)
+	answer := acked(n, 3, 0)
+	answer.Life = 999
+	step(t, n, answer)
+	n.Tick(crquorum.HeartbeatDefault)
+	joining := crquorum.Member{Role: crquorum.RoleJoining, Life: 999}
+	if d := cmp.Diff(joining, role(n, 3)); d != "" {
+		t.Errorf("after the loss: %s", d)
+	}
+	step(t, n, acked(n, 2, 3))
+	wantCommit(t, n, 3)
+	n.Tick(crquorum.HeartbeatDefault)
+	if d := cmp.Diff(joining, role(n, 3)); d != "" {
+		t.Errorf("without the log: %s", d)
+	}
+	answer.Index, answer.Echo = 3, n.Now()
+	step(t, n, answer)
+	step(t, n, late)
+	n.Tick(crquorum.HeartbeatDefault)
+	if d := cmp.Diff(crquorum.Member{Life: 999}, role(n, 3)); d != "" {
+		t.Errorf("with the log: %s", d)
+	}
+}
+
+// An instance that has just started grants no vote, because it may have
+// forgotten a leader that relies on it.
+func TestNodeWaitsAfterStart(t *testing.T) {
+	n := newNode(t)
+	ask := from(n, 2, crquorum.Message{Kind: crquorum.KindVote, Term: 2, Index: 1, Prev: 1})
+	if e := step(t, n, ask); len(e.Late) > 0 {
+		t.Errorf("answered %v", e.Late)
+	}
+	n.Tick(crquorum.ElectionDefault - 1)
+	step(t, n, ask)
+	n.Tick(1)
+	n.Take()
+	e := step(t, n, ask)
+	if len(e.Late) != 1 || e.Late[0].Reject || e.Hard == nil || e.Hard.Vote != 2 {
+		t.Errorf("effects %+v, want a vote", e)
+	}
+}
