--- a/internal/cragent/agent.go
+++ b/internal/cragent/agent.go
@@ -7,6 +7,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -25,6 +26,9 @@
 	announceEvery = time.Second
 	// announceTimeout bounds one announcement.
 	announceTimeout = time.Second
+	// leaveWait is how long a leaving agent still serves, so that everyone
+	// has heard of it before its listener closes.
+	leaveWait = 2 * time.Second
 	// stopGrace bounds a graceful stop when no document names one.
 	stopGrace = 10 * time.Second
 )
@@ -46,6 +50,20 @@
 	member crwire.Member
 	state  atomic.Int64
 	loops  sync.WaitGroup
+	// num is the agent's number, 0 before control has given one.
+	num atomic.Uint32
+	// flows holds callers' flows; nil without a datagram address.
+	flows *callerFlows
+	// source serves the view to processes that control can't reach.
+	source *crfeed.Source
+	// hint asks for the feed where a later revision was seen.
+	hint func(source string, rev uint64)
+	// gate admits requests to the backend server.
+	gate *gate
+	// others are the other agents of the service.
+	others *others
+	// requests counts requests.
+	requests *requests
 }
 
 // Run serves until ctx ends; then it drains and stops.
@@ -56,16 +74,26 @@
 	defer a.client.Close()
 	a.caller = &crrun.Caller{Client: a.client}
 	a.view.Store(crfeed.Empty())
-	server := &crnet.Server{Addr: set.Run, Handler: http.HandlerFunc(a.serveRun)}
-	if err := server.Start(); err != nil {
+	a.source = crfeed.NewSource(crfeed.Empty())
+	follower := &crfeed.Follower{
+		Name: a.Settings.Name, Client: a.client, Sources: a.Settings.Control,
+		Took: a.took, Failed: a.failed, Source: a.source,
+	}
+	a.hint = follower.Hint
+	a.openRequests()
+	if err := a.openFlows(); err != nil {
 		return err
 	}
+	server := &crnet.Server{Addr: set.Run, Handler: http.HandlerFunc(a.serve)}
+	if err := server.Start(); err != nil {
+		return errors.Join(err, a.closeFlows())
+	}
 	a.member = crwire.Member{
 		Name: a.Settings.Name, Service: set.Service, Zone: a.Settings.Zone, Host: set.Host,
-		Run: server.Bound(), Datagram: set.Datagram, Weight: set.Weight,
+		Run: server.Bound(), Datagram: a.datagramAddr(), Weight: set.Weight,
 	}
 	loopCtx, cancel := context.WithCancel(context.Background())
-	a.start(loopCtx)
+	a.start(loopCtx, follower)
 	a.Ready(server.Bound())
 	<-ctx.Done()
 	err := a.drain(server)
@@ -75,21 +103,21 @@
 }
 
 // start runs the agent's loops until ctx ends.
-func (a *Agent) start(ctx context.Context) {
-	follower := &crfeed.Follower{
-		Client: a.client, Sources: a.Settings.Control, Took: a.took, Failed: a.failed,
-	}
+func (a *Agent) start(ctx context.Context, follower *crfeed.Follower) {
 	a.loops.Go(func() { follower.Run(ctx) })
 	a.loops.Go(func() { a.loop(ctx) })
+	a.loops.Go(func() { a.gate.loop(ctx) })
 }
 
 // drain tells control that the agent leaves and finishes what is under way.
 func (a *Agent) drain(server *crnet.Server) error {
+	a.setState(crwire.MemberDraining)
+	a.announce(context.Background())
+	pause(context.Background(), leaveWait)
+	flowErr := a.drainFlows()
 	ctx, cancel := context.WithTimeout(context.Background(), stopGrace)
 	defer cancel()
-	a.setState(crwire.MemberDraining)
-	a.announce(ctx)
-	err := server.Stop(ctx)
+	err := errors.Join(flowErr, server.Stop(ctx), a.closeFlows())
 	a.setState(crwire.MemberGone)
 	a.announce(ctx)
 	if errors.Is(err, context.DeadlineExceeded) {
@@ -99,7 +127,16 @@
 }
 
 // took stores a later view.
-func (a *Agent) took(v *crwire.View) { a.view.Store(v) }
+func (a *Agent) took(v *crwire.View) {
+	if doc := v.Services[a.member.Service]; doc != nil {
+		a.gate.configure(doc)
+	}
+	a.view.Store(v)
+	if a.flows != nil {
+		a.flows.datagrams.took(v)
+		a.flows.watch(slices.Contains(v.Out, a.member.Zone))
+	}
+}
 
 // failed notes a failed poll of the feed.
 func (a *Agent) failed(source string, err error) {
@@ -133,7 +170,26 @@
 		err := a.client.JSON(callCtx, addr, "/announce", crwire.Announce{Member: m}, &answer)
 		cancel()
 		if err == nil {
+			a.keepNum(answer.Num)
 			return
 		}
 	}
 }
+
+// pause waits for d or until ctx ends.
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// keepNum keeps the number that control gave; 0 means that membership is
+// frozen, and the agent keeps what it has.
+func (a *Agent) keepNum(num uint32) {
+	if num != 0 {
+		a.num.Store(num)
+	}
+}
