--- a/internal/cradmit/floor.go
+++ b/internal/cradmit/floor.go
@@ -8,15 +8,17 @@
 const (
 	// floorWindows is how many windows the latency floor looks back.
 	floorWindows = 60
-	// floorMargin widens a window's mean by its statistical error, so that
-	// a window that was low by chance doesn't become the floor.
-	floorMargin = 1.5
+	// floorMargin is how many standard errors a window's mean is raised by,
+	// so that a window that was low by chance doesn't become the floor.
+	floorMargin = 2.5
 )
 
 // floor compares a class's latency with its own recent minimum.
 type floor struct {
-	sum   time.Duration
-	count int
+	// sum and squares add up the window's latencies in seconds.
+	sum     float64
+	squares float64
+	count   int
 	means [floorWindows]float64
 	next  int
 	held  int
@@ -24,7 +26,9 @@
 
 // add records an answer in the window.
 func (f *floor) add(latency time.Duration) {
-	f.sum += latency
+	seconds := latency.Seconds()
+	f.sum += seconds
+	f.squares += seconds * seconds
 	f.count++
 }
 
@@ -35,11 +39,13 @@
 		return 1, 0
 	}
 	count = f.count
-	mean := float64(f.sum) / float64(count)
-	f.means[f.next] = mean * (1 + floorMargin/math.Sqrt(float64(count)))
+	n := float64(count)
+	mean := f.sum / n
+	variance := max(0, f.squares/n-mean*mean)
+	f.means[f.next] = mean + floorMargin*math.Sqrt(variance/n)
 	f.next = (f.next + 1) % floorWindows
 	f.held = min(f.held+1, floorWindows)
-	f.sum, f.count = 0, 0
+	f.sum, f.squares, f.count = 0, 0, 0
 	low := math.Inf(1)
 	for _, m := range f.means[:f.held] {
 		low = min(low, m)
--- a/internal/cradmit/limit.go
+++ b/internal/cradmit/limit.go
@@ -17,11 +17,11 @@
 	windowFew = 5
 
 	// growRatio is the latency over its floor up to which the limit grows.
-	growRatio = 1.25
+	growRatio = 1.08
 	// fallRatio is the latency over its floor from which the limit falls.
-	fallRatio = 1.6
+	fallRatio = 1.2
 	// aimRatio is the latency over its floor that a fall aims at.
-	aimRatio = 1.3
+	aimRatio = 1.05
 	// coldRatio is a latency jump that means a cold backend server.
 	coldRatio = 4.0
 	// growShare is the growth in one window.
