--- a/internal/crtrial/operator.go
+++ b/internal/crtrial/operator.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"crypto/rand"
+	"encoding/json"
 	"errors"
 	"fmt"
+	"net/http"
 
 	"cardamomring.dev/internal/crnet"
 	"cardamomring.dev/internal/crwire"
@@ -48,6 +50,10 @@
 	for _, addr := range d.control {
 		var result crwire.Result
 		err := client.JSON(ctx, addr, "/change", c, &result)
+		var refused *crnet.StatusError
+		if errors.As(err, &refused) && refused.Status != http.StatusServiceUnavailable {
+			err = json.Unmarshal([]byte(refused.Body), &result)
+		}
 		if err == nil {
 			return result, nil
 		}
