--- a/internal/crreplica/replica_test.go
+++ b/internal/crreplica/replica_test.go
@@ -41,7 +41,8 @@
 	client  *crnet.Client
 	members map[uint64]string
 	all     map[uint64]*instance
-	every   uint64 // entries between snapshots
+	every   uint64        // entries between snapshots
+	tick    time.Duration // 0 for the default
 }
 
 // initial is how many instances found the group.
@@ -50,7 +51,7 @@
 // newGroup starts the listeners of all instances, the initial ones first.
 func newGroup(tb testing.TB, all int) *group {
 	tb.Helper()
-	g := &group{tb: tb, client: &crnet.Client{}, members: map[uint64]string{}, all: map[uint64]*instance{}, every: 50}
+	g := &group{tb: tb, client: &crnet.Client{}, members: map[uint64]string{}, all: map[uint64]*instance{}, every: 50, tick: 10 * time.Millisecond}
 	g.client.Open()
 	for id := uint64(1); id <= uint64(all); id++ {
 		in := &instance{id: id}
@@ -86,7 +87,7 @@
 	in.sum = 0
 	in.Replica = &crreplica.Replica{
 		Settings: &crdoc.Replica{ID: id, Data: dir, Members: g.members}, Client: g.client,
-		Tick: 10 * time.Millisecond, Every: g.every, Registry: prometheus.NewRegistry(),
+		Tick: g.tick, Every: g.every, Registry: prometheus.NewRegistry(),
 		Apply: func(_ uint64, data []byte) any {
 			n, _ := strconv.Atoi(string(data))
 			in.sum += n
@@ -353,6 +354,49 @@
 	}
 }
 
+// BenchmarkHandOver measures a planned stop of the leader: from its start to
+// the first commit of the next leader, with the default tick.
+func BenchmarkHandOver(b *testing.B) {
+	g := newGroup(b, 3)
+	defer g.close()
+	g.tick = 0
+	dirs := map[uint64]string{}
+	for id := range g.members {
+		dirs[id] = b.TempDir()
+		g.start(id, dirs[id])
+	}
+	g.propose(1)
+	longest := time.Duration(0)
+	for b.Loop() {
+		id, start := g.leader().id, time.Now()
+		g.halt(id)
+		g.propose(1)
+		longest = max(longest, time.Since(start))
+		b.StopTimer()
+		g.start(id, dirs[id])
+		g.wait(id, func(in *instance) bool { return in.Status().Fresh })
+		b.StartTimer()
+	}
+	b.ReportMetric(longest.Seconds()*1000, "longest-ms")
+}
+
+// BenchmarkIdle measures what a follower receives when nothing happens.
+func BenchmarkIdle(b *testing.B) {
+	g := newGroup(b, 3)
+	defer g.close()
+	g.tick = 0
+	for id := range g.members {
+		g.start(id, b.TempDir())
+	}
+	g.propose(1)
+	leader := g.leader().id
+	bytes := g.received(leader)
+	for b.Loop() {
+		time.Sleep(time.Second)
+	}
+	b.ReportMetric(float64(g.received(leader)-bytes)/2/b.Elapsed().Seconds(), "wire-B/s")
+}
+
 // syncs returns how often an instance has synced its log.
 func (g *group) syncs(id uint64) uint64 {
 	families, err := g.all[id].Registry.Gather()
--- a/internal/crreplica/run.go
+++ b/internal/crreplica/run.go
@@ -115,12 +115,14 @@
 	}
 }
 
-// advance moves the node's clock to the present.
+// advance moves the node's clock to the present and reports a lease that has
+// ended meanwhile.
 func (r *Replica) advance() {
 	ticks := time.Since(r.ticked) / r.Tick
 	if ticks > 0 {
 		r.ticked = r.ticked.Add(ticks * r.Tick)
 		r.node.Tick(uint64(ticks))
+		r.show()
 	}
 }
 
--- a/internal/crstore/store_test.go
+++ b/internal/crstore/store_test.go
@@ -227,3 +227,25 @@
 		})
 	}
 }
+
+// BenchmarkReplace writes a snapshot by its size.
+func BenchmarkReplace(b *testing.B) {
+	for _, mb := range []int{1, 16, 64} {
+		b.Run(fmt.Sprint(mb, "MB"), func(b *testing.B) {
+			folder, err := crstore.OpenFolder(b.TempDir())
+			if err != nil {
+				b.Fatal(err)
+			}
+			s, _, err := open(folder)
+			snap := crquorum.Snapshot{Index: 1, Term: 1, Data: make([]byte, mb<<20)}
+			for b.Loop() {
+				if err = errors.Join(err, s.Replace(crquorum.Hard{}, snap, nil)); err != nil {
+					b.Fatal(err)
+				}
+			}
+			if err := s.Close(); err != nil {
+				b.Fatal(err)
+			}
+		})
+	}
+}
