Even out servers of different speed; judge the limit by requests that reached it

Weighed: a limit that grows whenever it is touched drifts to twice the workers at half load; one that counts twice in reports still compares histories.

Change: growth needs a quarter of the starts at the limit; the latency of requests that started at the limit decides; an unproven limit is reported as one large limit; a time-out counts after four mean latencies, a start needs two before its deadline; forwards begin at 5% load for a server that is a tenth less loaded.

--- a/internal/cradmit/admission.go
+++ b/internal/cradmit/admission.go
@@ -24,6 +24,11 @@
 	stallLatencies = 10
 	// stallLate is how many requests are late by then, or the limit if less.
 	stallLate = 3
+	// timeoutLatencies is how long a request ran, in mean latencies, whose
+	// time-out speaks against the backend server.
+	timeoutLatencies = 4
+	// unprovenLimit stands for a limit that has not been bounded.
+	unprovenLimit = 64
 	// loadMax is the highest load that is reported, in percent.
 	loadMax = 999
 )
@@ -158,20 +163,31 @@
 		len(a.running) < a.limit.at(now) && a.runningRoutine < a.routineMax(now)
 }
 
-// Load returns requests under way and queued in percent of the limit.
+// Load returns requests under way and queued in percent of the limit. Below
+// a limit that answers have not bounded yet there is more room than is known.
+// The same large limit stands for all of these, so that others send what
+// proves it, and servers that are far from their limits share evenly.
 func (a *Admission) Load(now time.Time) int {
 	if a.limit.probing || a.stalled(now) {
 		return loadMax
 	}
-	return min(loadMax, (len(a.running)+a.Waiting())*100/a.limit.at(now))
+	inside, limit := len(a.running)+a.Waiting(), a.limit.at(now)
+	if inside < limit && !a.limit.proven {
+		limit = max(limit, unprovenLimit)
+	}
+	return min(loadMax, inside*100/limit)
 }
 
-// learn feeds the result to the limit.
+// learn feeds the result to the limit. A request that started shortly before
+// its deadline and missed it says nothing.
 func (a *Admission) learn(r *Request, result Result, now time.Time) {
+	if result == ResultTimeout && now.Sub(r.started) < timeoutLatencies*r.class.latency {
+		return
+	}
 	switch {
 	case result == ResultDone:
 		a.heard = now
-		r.class.answered(now.Sub(r.started))
+		r.class.answered(now.Sub(r.started), r.reached)
 		a.limit.done(now)
 	case result.failed() && a.limit.fail(result, r.started, now):
 		a.collapsed()
--- a/internal/cradmit/class.go
+++ b/internal/cradmit/class.go
@@ -11,6 +11,9 @@
 const (
 	// latencyGain is the weight of a new answer in a class's mean latency.
 	latencyGain = 0.1
+	// meetLatencies is how much time a start needs before its deadline, in
+	// mean latencies.
+	meetLatencies = 2
 	// costMin is charged for a start before any answer is known.
 	costMin = time.Millisecond
 )
@@ -70,17 +73,18 @@
 
 // meets tells whether a request that starts now is answered in time.
 func (c *class) meets(r *Request, now time.Time) bool {
-	return r.Deadline.Sub(now) > c.latency
+	return r.Deadline.Sub(now) > meetLatencies*c.latency
 }
 
 // charge returns what a start costs, in slot time.
 func (c *class) charge() time.Duration { return max(c.latency, costMin) }
 
-// answered learns the latency of a whole answer.
-func (c *class) answered(latency time.Duration) {
+// answered learns the latency of a whole answer, and whether its request
+// started at the limit.
+func (c *class) answered(latency time.Duration, reached bool) {
 	if c.latency == 0 {
 		c.latency = latency
 	}
 	c.latency += time.Duration(latencyGain * float64(latency-c.latency))
-	c.floor.add(latency)
+	c.floor.add(latency, reached)
 }
--- a/internal/cradmit/floor.go
+++ b/internal/cradmit/floor.go
@@ -11,6 +11,9 @@
 	// floorMargin is how many standard errors a window's mean is raised by,
 	// so that a window that was low by chance doesn't become the floor.
 	floorMargin = 2.5
+	// reachedMargin is how many standard errors the mean of requests that
+	// started at the limit is lowered by, so that a few don't shrink it.
+	reachedMargin = 1.5
 )
 
 // floor compares a class's latency with its own recent minimum.
@@ -19,21 +22,31 @@
 	sum     float64
 	squares float64
 	count   int
+	// pressed and reached are the sum and count of those latencies whose
+	// request started at the limit.
+	pressed float64
+	reached int
 	means [floorWindows]float64
 	next  int
 	held  int
 }
 
-// add records an answer in the window.
-func (f *floor) add(latency time.Duration) {
+// add records an answer in the window, and whether its request started at
+// the limit.
+func (f *floor) add(latency time.Duration, reached bool) {
 	seconds := latency.Seconds()
+	if reached {
+		f.pressed += seconds
+		f.reached++
+	}
 	f.sum += seconds
 	f.squares += seconds * seconds
 	f.count++
 }
 
 // close ends the window. It returns the mean latency over the recent
-// minimum, and how many answers that rests on.
+// minimum, and how many answers that rests on. The requests that started at
+// the limit tell how the limit does; without them all must do.
 func (f *floor) close() (ratio float64, count int) {
 	if f.count == 0 {
 		return 1, 0
@@ -45,7 +58,11 @@
 	f.means[f.next] = mean + floorMargin*math.Sqrt(variance/n)
 	f.next = (f.next + 1) % floorWindows
 	f.held = min(f.held+1, floorWindows)
+	if f.reached >= windowFew {
+		mean = f.pressed/float64(f.reached) - reachedMargin*math.Sqrt(variance/float64(f.reached))
+	}
 	f.sum, f.squares, f.count = 0, 0, 0
+	f.pressed, f.reached = 0, 0
 	low := math.Inf(1)
 	for _, m := range f.means[:f.held] {
 		low = min(low, m)
--- a/internal/cradmit/limit.go
+++ b/internal/cradmit/limit.go
@@ -24,6 +24,8 @@
 	aimRatio = 1.05
 	// coldRatio is a latency jump that means a cold backend server.
 	coldRatio = 4.0
+	// pressedShare is the share of starts that reach a limit in use.
+	pressedShare = 0.25
 	// growShare is the growth in one window.
 	growShare = 0.125
 	// fallMin bounds the fall in one window.
@@ -66,12 +68,17 @@
 	// opened is when the window began.
 	opened  time.Time
 	answers int
-	// used says that the limit was reached in the window.
-	used bool
+	// starts counts the window's starts, pressed those that reached the limit.
+	starts  int
+	pressed int
 	// raised counts windows with a raised latency since the last dip.
 	raised int
 	dipped bool
 
+	// proven says that answers have bounded the limit since its start: what
+	// is above it is more than the backend server has workers for.
+	proven bool
+
 	// ceiling is the limit that failed; growth stops below it until lifted.
 	ceiling float64
 	lifted  time.Time
@@ -118,7 +125,7 @@
 	}
 	l.probing, l.wait = false, probeWait
 	l.value = float64(l.doc.Start)
-	l.opened, l.answers, l.used = now, 0, false
+	l.open(now)
 }
 
 // fail takes a failed result of a request that started at started. It
@@ -155,6 +162,7 @@
 
 // fall multiplies the limit by a share, down to 1.
 func (l *limit) fall(share float64, now time.Time) {
+	l.proven = true
 	l.value = max(1, l.value*share)
 	l.cut = now
 }
@@ -166,8 +174,21 @@
 	l.ceiling = 0
 	l.probing, l.probeAt = true, now.Add(l.wait)
 	l.wait = min(2*l.wait, probeWaitMax)
-	l.opened, l.answers, l.used = now, 0, false
-	l.raised, l.dipped = 0, false
+	l.open(now)
+	l.raised, l.dipped, l.proven = 0, false, false
+}
+
+// open begins a window.
+func (l *limit) open(now time.Time) {
+	l.opened, l.answers, l.starts, l.pressed = now, 0, 0, 0
+}
+
+// started takes a start, and whether it reached the limit.
+func (l *limit) started(reached bool) {
+	l.starts++
+	if reached {
+		l.pressed++
+	}
 }
 
 // due tells whether the window is over.
@@ -179,8 +200,10 @@
 // close ends the window with the mean latency over its floor. It returns
 // true when the limit collapses.
 func (l *limit) close(ratio float64, now time.Time) bool {
-	enough, used, dipped := l.answers >= windowFew, l.used, l.dipped
-	l.opened, l.answers, l.used, l.dipped = now, 0, false, false
+	enough, dipped := l.answers >= windowFew, l.dipped
+	used := float64(l.pressed) > pressedShare*float64(l.starts)
+	l.open(now)
+	l.dipped = false
 	switch {
 	case !enough || dipped || l.probing:
 	case ratio >= coldRatio && l.value > float64(l.doc.Start):
@@ -191,8 +214,9 @@
 	case ratio <= growRatio && used:
 		l.grow(now)
 	}
-	if ratio > growRatio {
+	if enough && ratio > growRatio {
 		l.raised++
+		l.proven = true
 	}
 	if l.raised >= dipEvery {
 		l.raised, l.dipped = 0, true
--- a/internal/cradmit/peers.go
+++ b/internal/cradmit/peers.go
@@ -10,11 +10,13 @@
 	loadUnknown = 50
 	// loadFull is the load from which an agent has no room, in percent.
 	loadFull = 100
-	// loadMargin is how much less loaded another agent must be, in percent.
-	loadMargin = 15
 	// loadForward is the load from which requests go to a less loaded
 	// agent, in percent.
-	loadForward = 50
+	loadForward = 5
+	// loadMargin is how much less loaded that agent must be, in percent.
+	loadMargin = 2
+	// loadShare is its load over the load here at most.
+	loadShare = 0.9
 )
 
 // peer is what is known of another agent.
@@ -66,7 +68,7 @@
 		best = other
 	}
 	load := p.load(best, now)
-	return best, load < loadFull && load+loadMargin <= own
+	return best, load < loadFull && load+loadMargin <= own && float64(load) <= loadShare*float64(own)
 }
 
 // Least returns the least loaded agent that isn't ejected, for a request
--- a/internal/cradmit/request.go
+++ b/internal/cradmit/request.go
@@ -17,6 +17,8 @@
 	cost time.Duration
 	// epoch is the limit's epoch at the start.
 	epoch int
+	// reached says that it started at the limit.
+	reached bool
 	// floored requests were started by the floor of routine work and are
 	// not preempted.
 	floored bool
--- a/internal/cradmit/schedule.go
+++ b/internal/cradmit/schedule.go
@@ -83,9 +83,8 @@
 		r.cost = c.charge()
 		c.virtual = a.virtual + r.cost.Seconds()/c.weight()
 	}
-	if len(a.running) >= a.limit.at(now) || a.runningRoutine >= a.routineMax(now) {
-		a.limit.used = true
-	}
+	r.reached = len(a.running) >= a.limit.at(now) || a.runningRoutine >= a.routineMax(now)
+	a.limit.started(r.reached)
 	a.Start(r)
 }
 
