--- a/internal/cragent/agent.go
+++ b/internal/cragent/agent.go
@@ -7,6 +7,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -74,7 +75,11 @@
 	a.caller = &crrun.Caller{Client: a.client}
 	a.view.Store(crfeed.Empty())
 	a.source = crfeed.NewSource(crfeed.Empty())
-	a.hint = func(string, uint64) {}
+	follower := &crfeed.Follower{
+		Name: a.Settings.Name, Client: a.client, Sources: a.Settings.Control,
+		Took: a.took, Failed: a.failed, Source: a.source,
+	}
+	a.hint = follower.Hint
 	a.openRequests()
 	if err := a.openFlows(); err != nil {
 		return err
@@ -88,7 +93,7 @@
 		Run: server.Bound(), Datagram: a.datagramAddr(), Weight: set.Weight,
 	}
 	loopCtx, cancel := context.WithCancel(context.Background())
-	a.start(loopCtx)
+	a.start(loopCtx, follower)
 	a.Ready(server.Bound())
 	<-ctx.Done()
 	err := a.drain(server)
@@ -98,10 +103,7 @@
 }
 
 // start runs the agent's loops until ctx ends.
-func (a *Agent) start(ctx context.Context) {
-	follower := &crfeed.Follower{
-		Client: a.client, Sources: a.Settings.Control, Took: a.took, Failed: a.failed,
-	}
+func (a *Agent) start(ctx context.Context, follower *crfeed.Follower) {
 	a.loops.Go(func() { follower.Run(ctx) })
 	a.loops.Go(func() { a.loop(ctx) })
 	a.loops.Go(func() { a.gate.loop(ctx) })
@@ -130,9 +132,9 @@
 		a.gate.configure(doc)
 	}
 	a.view.Store(v)
-	a.source.Reset(v)
 	if a.flows != nil {
 		a.flows.datagrams.took(v)
+		a.flows.watch(slices.Contains(v.Out, a.member.Zone))
 	}
 }
 
--- a/internal/cragent/flows.go
+++ b/internal/cragent/flows.go
@@ -7,18 +7,49 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
+	"time"
 
 	"cardamomring.dev/internal/crroute"
 	"cardamomring.dev/internal/crrun"
 	"cardamomring.dev/internal/crwire"
 )
 
+// zoneGrace is how long flows may still send answers after their availability
+// zone was taken out.
+const zoneGrace = time.Second
+
 // callerFlows is what the agent needs to end callers' flows.
 type callerFlows struct {
 	datagrams *datagrams
 	server    *flowServer
 	cert      *certificate
 	done      chan struct{}
+
+	// ending gives the flows up when the zone stays out; nil while it is
+	// in. Only the feed's goroutine uses it.
+	ending *time.Timer
+	logf   func(format string, args ...any)
+}
+
+// watch gives callers' flows up soon after the agent's availability zone was
+// taken out. A caller that waits for an answer sends nothing, so that only
+// the agent can tell it.
+func (f *callerFlows) watch(out bool) {
+	switch {
+	case out && f.ending == nil:
+		f.ending = time.AfterFunc(zoneGrace, f.giveUp)
+	case !out && f.ending != nil:
+		f.ending.Stop()
+		f.ending = nil
+	}
+}
+
+// giveUp ends every flow.
+func (f *callerFlows) giveUp() {
+	if n := f.server.listener.giveUp(); n > 0 {
+		f.logf("gave up %d flows: the availability zone is out of service", n)
+	}
 }
 
 // openFlows listens for envelopes and serves HTTP/3 on what they carry. It
@@ -48,7 +79,7 @@
 	if err := server.start(d, keys, cert); err != nil {
 		return errors.Join(err, d.socket.Close())
 	}
-	a.flows = &callerFlows{datagrams: d, server: server, cert: cert, done: make(chan struct{})}
+	a.flows = &callerFlows{datagrams: d, server: server, cert: cert, done: make(chan struct{}), logf: a.Logf}
 	a.loops.Go(func() { d.run(a.flows.done) })
 	a.loops.Go(func() { cert.run(a.flows.done) })
 	return nil
@@ -63,18 +94,27 @@
 }
 
 // drainFlows waits for callers' flows to end until the service's grace is
-// over; new flows are passed on meanwhile.
+// over; new flows are passed on meanwhile. In an availability zone that is
+// out it doesn't wait: nothing reaches those flows any more.
 func (a *Agent) drainFlows() error {
 	if a.flows == nil {
 		return nil
 	}
-	grace := stopGrace
-	if doc := a.view.Load().Services[a.member.Service]; doc != nil && doc.Grace > 0 {
+	grace, view := stopGrace, a.view.Load()
+	doc := view.Services[a.member.Service]
+	switch {
+	case slices.Contains(view.Out, a.member.Zone):
+		grace = 0
+	case doc != nil && doc.Grace > 0:
 		grace = doc.Grace.D()
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), grace)
 	defer cancel()
-	return a.flows.server.stop(ctx)
+	remained, err := a.flows.server.stop(ctx)
+	if remained {
+		a.Logf("closed callers' connections that were open after %s", grace)
+	}
+	return err
 }
 
 // closeFlows ends the socket and the loops of the flows.
@@ -93,6 +133,7 @@
 
 // serveFlow answers a request of a caller on one of the agent's flows.
 func (a *Agent) serveFlow(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set(crwire.HeaderAgent, a.member.Name)
 	req, err := crrun.FromCaller(r, a.member.Service, rand.Text())
 	if err != nil {
 		crrun.Reject(http.StatusRequestEntityTooLarge, "body").Write(w)
