--- a/internal/crtrial/crowd.go
+++ b/internal/crtrial/crowd.go
@@ -43,6 +43,8 @@
 type Tally struct {
 	// Asked, Done, Notrun and Unknown count requests by their last outcome.
 	Asked, Done, Notrun, Unknown int
+	// Reasons counts the refusals by their reason.
+	Reasons map[string]int
 	// Took holds the time of each answer of a request that has run.
 	Took []time.Duration
 	// Broken lists the flows that broke under a request.
@@ -70,6 +72,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	c.stop, c.begun = stop, time.Now()
 	c.tally.Final = map[string]crwire.Outcome{}
+	c.tally.Reasons = map[string]int{}
 	for range c.Flows {
 		flow, err := c.Deployment.NewFlow(c.Service)
 		if err != nil {
@@ -161,6 +164,7 @@
 		t.Took = append(t.Took, answer.Took)
 	case crwire.OutcomeNotrun:
 		t.Notrun++
+		t.Reasons[answer.Reason()]++
 	default:
 		t.Unknown++
 	}
--- a/internal/crtrial/flow.go
+++ b/internal/crtrial/flow.go
@@ -5,6 +5,7 @@
 	"context"
 	"crypto/tls"
 	"crypto/x509"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
@@ -50,6 +51,15 @@
 	Err error
 }
 
+// Reason returns why a request was refused, empty for other answers.
+func (a Answer) Reason() string {
+	var problem crwire.Problem
+	if err := json.Unmarshal(a.Body, &problem); err != nil {
+		return ""
+	}
+	return problem.Reason
+}
+
 // NewFlow returns a caller of a service. It connects at its first request.
 func (d *Deployment) NewFlow(service string) (*Flow, error) {
 	pool := x509.NewCertPool()
