--- a/internal/cradmit/floor.go
+++ b/internal/cradmit/floor.go
@@ -26,9 +26,9 @@
 	// request started at the limit.
 	pressed float64
 	reached int
-	means [floorWindows]float64
-	next  int
-	held  int
+	means   [floorWindows]float64
+	next    int
+	held    int
 }
 
 // add records an answer in the window, and whether its request started at
