Write a line when a source of the feed stops answering, not for each poll

In a stop of the whole system by hand each daemon wrote a line for every poll, some 30 in three seconds. Outages keeps what is down and writes changes only; crfeed.Follower calls Answered, agents and balancers use it.

--- a/internal/cragent/agent.go
+++ b/internal/cragent/agent.go
@@ -83,9 +83,10 @@
 	a.caller = &crrun.Caller{Client: a.client}
 	a.view.Store(crfeed.Empty())
 	a.source = crfeed.NewSource(crfeed.Empty())
+	outages := &crfeed.Outages{Logf: a.Logf}
 	follower := &crfeed.Follower{
 		Name: a.Settings.Name, Client: a.client, Sources: a.Settings.Control,
-		Took: a.took, Failed: a.failed, Source: a.source,
+		Took: a.took, Failed: outages.Failed, Answered: outages.Answered, Source: a.source,
 	}
 	a.hint = follower.Hint
 	a.openRequests()
@@ -146,11 +147,6 @@
 	}
 }
 
-// failed notes a failed poll of the feed.
-func (a *Agent) failed(source string, err error) {
-	a.Logf("feed of %s: %v", source, err)
-}
-
 // setState changes the state that is announced.
 func (a *Agent) setState(s crwire.MemberState) { a.state.Store(int64(s)) }
 
--- a/internal/crbalancer/balancer.go
+++ b/internal/crbalancer/balancer.go
@@ -82,9 +82,10 @@
 	if err := engine.Start(); err != nil {
 		return fmt.Errorf("start the HTTP engine: %w", err)
 	}
+	outages := &crfeed.Outages{Logf: b.Logf}
 	follower := &crfeed.Follower{
 		Name: b.Settings.Name, Client: b.client, Sources: b.Settings.Control,
-		Took: b.took, Failed: b.failed,
+		Took: b.took, Failed: outages.Failed, Answered: outages.Answered,
 	}
 	b.hint = follower.Hint
 	loopCtx, cancel := context.WithCancel(context.Background())
@@ -119,8 +120,3 @@
 		b.forwarder.took(v)
 	}
 }
-
-// failed notes a failed poll of the feed.
-func (b *Balancer) failed(source string, err error) {
-	b.Logf("feed of %s: %v", source, err)
-}
--- a/internal/crfeed/follower.go
+++ b/internal/crfeed/follower.go
@@ -40,6 +40,8 @@
 	Took func(v *crwire.View)
 	// Failed is called when a poll fails.
 	Failed func(source string, err error)
+	// Answered is called when a poll was answered; nil is allowed.
+	Answered func(source string)
 	// Source passes the feed on to others; nil passes nothing on.
 	Source *Source
 	// Random returns numbers from 0 to 1 for the first source and the
@@ -72,6 +74,9 @@
 		err := f.poll(ctx, source)
 		if err == nil {
 			failures = 0
+			if f.Answered != nil {
+				f.Answered(source)
+			}
 			continue
 		}
 		next++
