Scripts take ports that nobody is given by chance

In 1 of 4 runs of http3 an agent never became a member within 2 minutes. The run's log was not kept; the likely cause is that only the TCP side of a script's port was held, so that a caller's UDP socket could be given the port of an agent's datagrams. Ports now lie below the kernel's range for sockets that ask for any port, and are bound before they are shared, so that two scripts can't reserve one.

--- a/cmd/cardamomring/port_test.go
+++ b/cmd/cardamomring/port_test.go
@@ -1,18 +1,32 @@
 package main
 
 import (
+	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"syscall"
 )
 
-// reservePort returns a loopback port that is free for TCP and UDP. The port
-// stays bound, without listening, until release is called: the kernel then
-// gives it to nobody who asks for any port, while a process that asks for
-// just this one may still listen on it.
+// Ports of scripts lie below those that the kernel gives to whoever asks for
+// any port, so that no socket of a caller takes one in between.
+const (
+	portLow  = 15_000
+	portHigh = 32_000
+	// portTries bounds the search for a free port.
+	portTries = 1000
+)
+
+// reservePort returns a loopback port that is free for TCP and UDP. It stays
+// bound for TCP, without listening, until release is called: no other script
+// can reserve it, while a process that is told to may listen on it.
 func reservePort() (port int, release func(), err error) {
-	for range 100 {
-		port, release, err = holdPort()
+	for range portTries {
+		port = portLow + rand.IntN(portHigh-portLow)
+		release, err = holdPort(port)
+		if errors.Is(err, syscall.EADDRINUSE) {
+			continue
+		}
 		if err != nil {
 			return 0, nil, err
 		}
@@ -23,33 +37,24 @@
 		}
 		release()
 	}
-	return 0, nil, fmt.Errorf("no port is free for TCP and UDP")
+	return 0, nil, errors.New("no port is free for TCP and UDP")
 }
 
-// holdPort binds a TCP port.
-func holdPort() (int, func(), error) {
+// holdPort binds a TCP port. The address may be shared only after the bind,
+// which therefore fails when anyone else holds the port.
+func holdPort(port int) (func(), error) {
 	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
 	if err != nil {
-		return 0, nil, fmt.Errorf("open a socket: %w", err)
+		return nil, fmt.Errorf("open a socket: %w", err)
 	}
 	release := func() { _ = syscall.Close(fd) }
-	if err := syscall.SetsockoptInt(fd, syscall.SOL_SOCKET, syscall.SO_REUSEADDR, 1); err != nil {
-		release()
-		return 0, nil, fmt.Errorf("share the port: %w", err)
-	}
-	if err := syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
+	if err := syscall.Bind(fd, &syscall.SockaddrInet4{Port: port, Addr: [4]byte{127, 0, 0, 1}}); err != nil {
 		release()
-		return 0, nil, fmt.Errorf("bind: %w", err)
+		return nil, fmt.Errorf("bind: %w", err)
 	}
-	name, err := syscall.Getsockname(fd)
-	if err != nil {
-		release()
-		return 0, nil, fmt.Errorf("read the port: %w", err)
-	}
-	addr, ok := name.(*syscall.SockaddrInet4)
-	if !ok {
+	if err := syscall.SetsockoptInt(fd, syscall.SOL_SOCKET, syscall.SO_REUSEADDR, 1); err != nil {
 		release()
-		return 0, nil, fmt.Errorf("the socket has no IPv4 address")
+		return nil, fmt.Errorf("share the port: %w", err)
 	}
-	return addr.Port, release, nil
+	return release, nil
 }
