Keep a late message of a dead founder from splitting the first start

An instance without a log now joins the group of a leader only when that leader echoes a reading of its clock since it last chose a group, which a dead leader can't; to make that possible it answers the leader that it doesn't follow. Ruled out: never leaving a pledge, because an instance that lost its disk and pledged to another such instance would then miss the living leader while that one is down.

Unseen: a leader that hands over stays fresh; and a leader fresh without counting answers, which the step-down covers.

--- a/internal/crquorum/follow.go
+++ b/internal/crquorum/follow.go
@@ -16,6 +16,11 @@
 	if n.phase == leading {
 		return fmt.Errorf("two leaders in term %d: %d and %d", m.Term, n.ID, m.From)
 	}
+	for i, e := range m.Entries {
+		if e.Index != m.Index+1+uint64(i) {
+			return nil
+		}
+	}
 	n.heard(m)
 	answer := Message{Kind: KindAppended, To: m.From, Index: m.Index, Echo: m.Tick}
 	last := m.Index + uint64(len(m.Entries))
--- a/internal/crquorum/found.go
+++ b/internal/crquorum/found.go
@@ -41,33 +41,30 @@
 		// The sender has learnt that there is a group already.
 		group = m.Cluster
 	}
-	if n.blank() && n.hard.Cluster != group {
-		n.hard.Cluster = group
-		n.hardChanged = true
+	if n.blank() {
+		n.choose(group)
 	}
 	n.send(Message{Kind: KindPledge, To: m.From, Index: n.log.last()})
 }
 
 // onPledge notes that an instance waits for this one's group, or that there is
 // a group with a log, which this instance then waits for.
-func (n *Node) onPledge(m Message) error {
+func (n *Node) onPledge(m Message) {
 	if !n.blank() || !n.isFounder(n.ID) {
-		return nil
+		return
 	}
 	if m.Index > 0 {
 		delete(n.pledges, m.From)
-		n.hardChanged = n.hardChanged || n.hard.Cluster != m.Cluster
-		n.hard.Cluster = m.Cluster
-		return nil
+		n.choose(m.Cluster)
+		return
 	}
 	if m.Cluster != n.Life {
-		return nil
+		return
 	}
 	n.pledges[m.From] = m.Life
 	if n.pledged() {
 		n.start()
 	}
-	return nil
 }
 
 // pledged says that every other initial instance has pledged.
--- a/internal/crquorum/node.go
+++ b/internal/crquorum/node.go
@@ -62,6 +62,8 @@
 	synced uint64
 	// handover is when this leader asked another to take over, 0 for never.
 	handover uint64
+	// chosen is when this instance last chose a group.
+	chosen uint64
 	// started is when this instance became leader.
 	started uint64
 	pledges map[uint64]uint64
@@ -96,7 +98,7 @@
 	n.ticks = map[uint64]uint64{}
 	n.pledges = map[uint64]uint64{}
 	n.now = clockRange + n.Rand(clockRange)
-	n.contact = n.now
+	n.contact, n.chosen = n.now, n.now
 	n.follow(n.hard.Term, 0)
 	if c := n.log.config(); c.Voters() == 1 && c.Counts(n.ID, n.Life) {
 		n.deadline = n.now
@@ -132,17 +134,18 @@
 	if m.To != n.ID || m.From == n.ID || m.Life == 0 {
 		return nil
 	}
+	n.ticks[m.From] = m.Tick
 	switch m.Kind {
 	case KindHello:
 		n.onHello(m)
 		return nil
 	case KindPledge:
-		return n.onPledge(m)
+		n.onPledge(m)
+		return nil
 	}
 	if !n.sameCluster(m) {
 		return nil
 	}
-	n.ticks[m.From] = m.Tick
 	if m.Term > n.hard.Term && !n.adopt(m) {
 		return nil
 	}
@@ -175,15 +178,28 @@
 }
 
 // sameCluster says whether a message belongs to this instance's group. An
-// instance without a log joins the group of the leader that finds it; it has
-// acknowledged nothing yet, and its term and vote stay as they are.
+// instance without a log, which has acknowledged nothing, joins the group of a
+// leader that has heard from it since it last chose a group; so a late message
+// of a leader whose disk is lost can't take it back from the next founder.
 func (n *Node) sameCluster(m Message) bool {
 	fromLeader := m.Kind == KindAppend || m.Kind == KindSnapshot
-	if n.blank() && fromLeader && m.Cluster != n.hard.Cluster {
-		n.hard.Cluster = m.Cluster
-		n.hardChanged = true
+	if !n.blank() || !fromLeader || m.Cluster == n.hard.Cluster {
+		return m.Cluster == n.hard.Cluster && m.Cluster != 0
+	}
+	if m.Echo < n.chosen || m.Echo > n.now {
+		n.send(Message{Kind: KindPledge, To: m.From})
+		return false
+	}
+	n.choose(m.Cluster)
+	return true
+}
+
+// choose joins a group.
+func (n *Node) choose(cluster uint64) {
+	if n.hard.Cluster != cluster {
+		n.hard.Cluster, n.hardChanged = cluster, true
+		n.chosen = n.now
 	}
-	return m.Cluster == n.hard.Cluster && m.Cluster != 0
 }
 
 // adopt takes over a higher term; false when the message is to be dropped.
--- a/internal/crquorum/node_test.go
+++ b/internal/crquorum/node_test.go
@@ -1,6 +1,7 @@
 package crquorum_test
 
 import (
+	"encoding/json"
 	"errors"
 	"testing"
 
@@ -187,3 +188,59 @@
 		t.Errorf("effects %+v, want a vote", e)
 	}
 }
+
+// An empty instance waits for the founder that it pledged to; a late message
+// of another group's dead leader doesn't take it away, a living leader does.
+func TestNodeLateFounder(t *testing.T) {
+	n := &crquorum.Node{
+		ID: 2, Life: life(2), Rand: func(uint64) uint64 { return 0 },
+		Initial: map[uint64]string{1: "a", 2: "b", 3: "c"},
+	}
+	if err := n.Open(crquorum.Hard{}, nil, nil); err != nil {
+		t.Fatal(err)
+	}
+	entry := []crquorum.Entry{{Index: 1, Term: 1}}
+	var got []uint64
+	for _, m := range []crquorum.Message{
+		{Kind: crquorum.KindHello, From: 1, Life: 50},
+		{Kind: crquorum.KindAppend, From: 1, Life: 40, Cluster: 40, Echo: n.Now() - 1, Entries: entry},
+		{Kind: crquorum.KindAppend, From: 3, Life: 60, Cluster: 60, Echo: n.Now(), Entries: entry},
+		{Kind: crquorum.KindHello, From: 1, Life: 70},
+	} {
+		m.To, m.Term = 2, 1
+		step(t, n, m)
+		got = append(got, n.Status().Cluster, n.Status().Last)
+	}
+	if d := cmp.Diff([]uint64{50, 0, 50, 0, 60, 1, 60, 1}, got); d != "" {
+		t.Error(d)
+	}
+}
+
+// FuzzStep: no message from another instance makes a node panic.
+func FuzzStep(f *testing.F) {
+	for kind := crquorum.KindAppend; kind <= crquorum.KindTakeover; kind++ {
+		data, _ := json.Marshal(crquorum.Message{
+			Kind: kind, From: 2, To: 1, Cluster: life(1), Life: life(2), Term: 3, Index: 2, Prev: 2, Commit: 3,
+			Entries:  []crquorum.Entry{{Index: 3, Term: 3}, {Index: 4, Term: 3}},
+			Snapshot: &crquorum.Snapshot{Index: 9, Term: 3},
+		})
+		f.Add(data, false)
+		f.Add(data, true)
+	}
+	f.Fuzz(func(t *testing.T, data []byte, leading bool) {
+		var m crquorum.Message
+		if json.Unmarshal(data, &m) != nil {
+			return
+		}
+		n := newNode(t, 2)
+		if leading {
+			elect(t, n)
+		}
+		_ = n.Step(m)
+		n.Tick(crquorum.ElectionDefault)
+		for range 3 {
+			n.Take()
+			n.Synced()
+		}
+	})
+}
--- a/internal/crreplica/replica_test.go
+++ b/internal/crreplica/replica_test.go
@@ -256,6 +256,47 @@
 	}
 }
 
+// A leader that was held up while another one took over isn't fresh, neither
+// for those who ask meanwhile nor for the first call after it.
+func TestReplicaFrozenLeader(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	g := newGroup(t, 3)
+	defer g.close()
+	for id := range g.members {
+		g.start(id, t.TempDir())
+	}
+	g.propose(1)
+	frozen := g.leader()
+	for id := range g.members {
+		g.wait(id, func(in *instance) bool { return in.sum == 1 })
+	}
+	release, held := make(chan struct{}), make(chan error)
+	go func() { held <- frozen.Do(func() { <-release }) }()
+	for g.leaderBut(frozen) == nil {
+		time.Sleep(time.Millisecond)
+	}
+	if frozen.Status().Fresh {
+		t.Error("fresh beside another leader")
+	}
+	close(release)
+	g.check(<-held)
+	g.check(frozen.Do(func() {
+		if s := frozen.Status(); s.Fresh && s.Leading {
+			t.Errorf("leads after it was held up: %+v", s)
+		}
+	}))
+}
+
+// leaderBut returns a leader other than one instance, nil for none.
+func (g *group) leaderBut(one *instance) *instance {
+	for _, in := range g.all {
+		if in != one && in.Status().Leading {
+			return in
+		}
+	}
+	return nil
+}
+
 // A group that has lost all its disks starts again from a copy of one log.
 func TestReplicaRestoreBackup(t *testing.T) {
 	defer goleak.VerifyNone(t)
