--- a/internal/crcontrol/status.go
+++ b/internal/crcontrol/status.go
@@ -12,7 +12,7 @@
 	s := c.replica.Status()
 	crnet.WriteJSON(w, http.StatusOK, crwire.Status{
 		Name: c.Settings.Name, ID: s.ID, Term: s.Term, Leader: s.Leader, Address: s.Address,
-		Leading: s.Leading, Fresh: s.Fresh, Commit: s.Commit, Voters: s.Voters,
+		Leading: s.Leading, Voting: s.Voting, Fresh: s.Fresh, Commit: s.Commit, Voters: s.Voters,
 		Revision: c.source.View().Revision, Followers: c.followers.list(),
 	})
 }
--- a/internal/crquorum/node_test.go
+++ b/internal/crquorum/node_test.go
@@ -189,6 +189,22 @@
 	}
 }
 
+// A leader that asks another one to take over isn't fresh and appends nothing.
+func TestNodeTransfer(t *testing.T) {
+	n := newNode(t)
+	elect(t, n)
+	step(t, n, acked(n, 2, 2))
+	if n.FreshUntil() <= n.Now() {
+		t.Error("not fresh before the transfer")
+	}
+	if err := n.Transfer(2); err != nil {
+		t.Fatal(err)
+	}
+	if _, _, err := n.Propose(nil); n.FreshUntil() > n.Now() || !errors.Is(err, crquorum.ErrNotLeader) {
+		t.Errorf("fresh until %d at %d, proposal: %v", n.FreshUntil(), n.Now(), err)
+	}
+}
+
 // An empty instance waits for the founder that it pledged to; a late message
 // of another group's dead leader doesn't take it away, a living leader does.
 func TestNodeLateFounder(t *testing.T) {
--- a/internal/crquorum/status.go
+++ b/internal/crquorum/status.go
@@ -10,6 +10,9 @@
 	Cluster uint64
 	// Leading says that this instance is the leader.
 	Leading bool
+	// Voting says that this instance has a vote with the disk that it has, by
+	// a configuration that is committed.
+	Voting bool
 	// Config is the latest configuration, committed or not.
 	Config Config
 }
@@ -19,7 +22,9 @@
 	return Status{
 		Term: n.hard.Term, Leader: n.leader, Commit: n.commit, Applied: n.applied,
 		Snapshot: n.log.snap.Index, Last: n.log.last(),
-		Cluster: n.hard.Cluster, Leading: n.phase == leading, Config: n.log.config(),
+		Cluster: n.hard.Cluster, Leading: n.phase == leading,
+		Voting: n.log.config().Counts(n.ID, n.Life) && n.log.configIndex() <= n.commit,
+		Config: n.log.config(),
 	}
 }
 
--- a/internal/crreplica/status.go
+++ b/internal/crreplica/status.go
@@ -18,6 +18,9 @@
 	Address string `json:"address"`
 	// Leading says that this instance is the leader.
 	Leading bool `json:"leading"`
+	// Voting says that this instance has a vote with the disk that it has;
+	// false until a lost disk is repaired.
+	Voting bool `json:"voting"`
 	// Fresh says that this instance has lately had proof that it holds what
 	// is in force: as leader from a quorum, otherwise from the leader.
 	Fresh bool `json:"fresh"`
@@ -53,7 +56,7 @@
 	now := r.node.Status()
 	status := Status{
 		ID: r.Settings.ID, Term: now.Term, Leader: now.Leader, Address: r.address(now.Leader),
-		Leading: now.Leading, Commit: now.Commit, Voters: map[uint64]string{}, Members: now.Config.Members,
+		Leading: now.Leading, Voting: now.Voting, Commit: now.Commit, Voters: map[uint64]string{}, Members: now.Config.Members,
 	}
 	for id, m := range now.Config.Members {
 		if m.Role == crquorum.RoleVoter {
@@ -64,9 +67,6 @@
 	status.Fresh = time.Now().Before(until)
 	old := r.shown.Swap(&shown{status: status, until: until})
 	r.metrics.show(status)
-	if old == nil || old.status.Leader != now.Leader || old.status.Leading != now.Leading {
-		r.logf("term %d: the leader is instance %d", now.Term, now.Leader)
-	}
 	if old == nil || old.status.Leader != now.Leader || old.status.Leading != now.Leading ||
 		old.status.Fresh != status.Fresh {
 		r.Changed(status)
--- a/internal/crwire/status.go
+++ b/internal/crwire/status.go
@@ -12,6 +12,9 @@
 	Address string `json:"address"`
 	// Leading says that this instance is the leader.
 	Leading bool `json:"leading"`
+	// Voting says that it votes with the disk that it has; false until a lost
+	// disk is repaired.
+	Voting bool `json:"voting"`
 	// Fresh says that it has lately had contact with a quorum.
 	Fresh bool `json:"fresh"`
 	// Commit is the index of its last committed entry.
