Scenarios over real control processes: killed, frozen, raced, under TLS

Aim: the promises about configuration shown on processes, not on fakes.

Change: control_kill edits a document without a pause while each of three instances is killed in turn, then all at once; control_frozen stops one for 300 changes and resumes it without the others, polls it as starting daemons do and starts a balancer that reaches only it; control_race lets ten processes edit one version at three instances; control_tls runs the whole path with mutual TLS, operators by token and certificate, and five kinds of strangers. The feed's follower reports loss and return of all sources once, so that a cut off daemon writes one line.

Proofs seen to fail first on a scratch copy: an instance that never says stale, a starting follower that takes stale answers (both: control_frozen runs into its limit), no compare of versions (control_race), authors without credentials admitted (control_tls).

--- a/cmd/cardamomring/script_signal_test.go
+++ b/cmd/cardamomring/script_signal_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"errors"
 	"os"
 	"regexp"
 	"slices"
@@ -36,9 +37,17 @@
 	}
 	found := false
 	for _, cmd := range ts.BackgroundCmds() {
-		if cmd.ProcessState == nil && slices.Contains(cmd.Args, args[1]) {
-			found = true
-			ts.Check(cmd.Process.Signal(signals[args[0]]))
+		if !slices.Contains(cmd.Args, args[1]) {
+			continue
+		}
+		err := cmd.Process.Signal(signals[args[0]])
+		if errors.Is(err, os.ErrProcessDone) {
+			continue
+		}
+		ts.Check(err)
+		found = true
+		if args[0] == "STOP" {
+			ts.Defer(func() { _ = cmd.Process.Signal(syscall.SIGCONT) })
 		}
 	}
 	if !found {
@@ -56,7 +65,7 @@
 	n := 0
 	for _, file := range args[2:] {
 		for line := range strings.Lines(ts.ReadFile(file)) {
-			if re.MatchString(line) {
+			if re.MatchString(strings.TrimRight(line, " \n")) {
 				n++
 			}
 		}
--- a/cmd/cardamomring/script_test.go
+++ b/cmd/cardamomring/script_test.go
@@ -29,6 +29,16 @@
 //	                          signals the background commands with this argument
 //	count PATTERN WANT FILE...
 //	                          counts the lines that match
+//	start-changes FILE HOST:PORT,...
+//	                          edits a document through control without end
+//	await-changes N           waits until N more changes were accepted
+//	cancel-changes            stops editing
+//	check-changes SERVICE     checks that every accepted change is in force
+//	stop-changes SERVICE      does both
+//	start-polls HOST:PORT     polls the feed of a control instance
+//	stop-polls REVISION       checks that only stale answers were of a lower one
+//	rivals FILE N             writes rival1.json ... that differ
+//	race N PROGRAM ARG...     runs a program N times at once, %d is the number
 //	sum PATTERN WANT FILE...  adds up the first group of the matches
 func TestScripts(t *testing.T) {
 	testscript.Run(t, testscript.Params{
@@ -38,17 +48,26 @@
 		UpdateScripts:       os.Getenv("UPDATE_SCRIPTS") != "",
 		Setup:               setUpScript,
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
-			"wait-http":     waitHTTP,
-			"http":          sendHTTP,
-			"load":          load,
-			"start-load":    startLoad,
-			"wait-load":     waitLoad,
-			"expect-status": expectStatus,
-			"term":          terminate,
-			"sum":           sum,
-			"mask":          mask,
-			"signal":        sendSignal,
-			"count":         countLines,
+			"wait-http":      waitHTTP,
+			"http":           sendHTTP,
+			"load":           load,
+			"start-load":     startLoad,
+			"wait-load":      waitLoad,
+			"expect-status":  expectStatus,
+			"term":           terminate,
+			"sum":            sum,
+			"mask":           mask,
+			"signal":         sendSignal,
+			"count":          countLines,
+			"start-changes":  startChanges,
+			"await-changes":  awaitChanges,
+			"stop-changes":   stopChanges,
+			"cancel-changes": cancelChanges,
+			"check-changes":  checkChanges,
+			"start-polls":    startPolls,
+			"stop-polls":     stopPolls,
+			"rivals":         writeRivals,
+			"race":           race,
 		},
 	})
 }
@@ -56,6 +75,7 @@
 // setUpScript gives the script its ports.
 func setUpScript(env *testscript.Env) error {
 	env.Values[loadKey{}] = new(*tally)
+	env.Values[editorKey{}] = new(scriptState)
 	values := map[string]string{}
 	for i := range portsPerScript {
 		port, release, err := reservePort()
--- a/internal/cragent/agent.go
+++ b/internal/cragent/agent.go
@@ -85,7 +85,7 @@
 	a.source = crfeed.NewSource(crfeed.Empty())
 	follower := &crfeed.Follower{
 		Name: a.Settings.Name, Client: a.client, Sources: a.Settings.Control,
-		Took: a.took, Failed: a.failed, Source: a.source,
+		Took: a.took, Cut: a.cut, Source: a.source,
 	}
 	a.hint = follower.Hint
 	a.openRequests()
@@ -146,9 +146,13 @@
 	}
 }
 
-// failed notes a failed poll of the feed.
-func (a *Agent) failed(source string, err error) {
-	a.Logf("feed of %s: %v", source, err)
+// cut notes that no source of the feed answers, or that one does again.
+func (a *Agent) cut(err error) {
+	if err != nil {
+		a.Logf("no feed from control: %v", err)
+		return
+	}
+	a.Logf("the feed is back")
 }
 
 // setState changes the state that is announced.
--- a/internal/crbalancer/balancer.go
+++ b/internal/crbalancer/balancer.go
@@ -84,7 +84,7 @@
 	}
 	follower := &crfeed.Follower{
 		Name: b.Settings.Name, Client: b.client, Sources: b.Settings.Control,
-		Took: b.took, Failed: b.failed,
+		Took: b.took, Cut: b.cut,
 	}
 	b.hint = follower.Hint
 	loopCtx, cancel := context.WithCancel(context.Background())
@@ -120,7 +120,11 @@
 	}
 }
 
-// failed notes a failed poll of the feed.
-func (b *Balancer) failed(source string, err error) {
-	b.Logf("feed of %s: %v", source, err)
+// cut notes that no source of the feed answers, or that one does again.
+func (b *Balancer) cut(err error) {
+	if err != nil {
+		b.Logf("no feed from control: %v", err)
+		return
+	}
+	b.Logf("the feed is back")
 }
--- a/internal/crfeed/follower.go
+++ b/internal/crfeed/follower.go
@@ -38,8 +38,11 @@
 	Sources []string
 	// Took is called with each later view, one call at a time.
 	Took func(v *crwire.View)
-	// Failed is called when a poll fails.
+	// Failed is called when a poll fails; nil ignores it.
 	Failed func(source string, err error)
+	// Cut is called with the last error when each source has failed in a
+	// row, and with nil when one answers again; nil ignores it.
+	Cut func(err error)
 	// Source passes the feed on to others; nil passes nothing on.
 	Source *Source
 	// Random returns numbers from 0 to 1 for the first source and the
@@ -71,15 +74,22 @@
 		source := f.Sources[next%len(f.Sources)]
 		err := f.poll(ctx, source)
 		if err == nil {
+			if failures >= len(f.Sources) {
+				f.Cut(nil)
+			}
 			failures = 0
 			continue
 		}
 		next++
 		failures++
-		if ctx.Err() == nil {
-			f.Failed(source, err)
-			pause(ctx, Backoff(failures, len(f.Sources), f.Random()))
+		if ctx.Err() != nil {
+			return
+		}
+		f.Failed(source, err)
+		if failures == len(f.Sources) {
+			f.Cut(err)
 		}
+		pause(ctx, Backoff(failures, len(f.Sources), f.Random()))
 	}
 }
 
@@ -120,6 +130,12 @@
 	if f.Random == nil {
 		f.Random = rand.Float64
 	}
+	if f.Failed == nil {
+		f.Failed = func(string, error) {}
+	}
+	if f.Cut == nil {
+		f.Cut = func(error) {}
+	}
 }
 
 // loop pulls from peers until ctx ends.
--- a/internal/crfeed/follower_test.go
+++ b/internal/crfeed/follower_test.go
@@ -53,6 +53,7 @@
 	*crfeed.Follower
 	took   chan uint64
 	failed chan string
+	cut    chan bool
 }
 
 // follow starts a follower of senders.
@@ -60,12 +61,13 @@
 	tb.Helper()
 	client := &crnet.Client{}
 	client.Open()
-	d := &daemon{took: make(chan uint64, 1000), failed: make(chan string, 1000)}
+	d := &daemon{took: make(chan uint64, 1000), failed: make(chan string, 1000), cut: make(chan bool, 1000)}
 	random := rand.New(rand.NewPCG(1, 2))
 	d.Follower = &crfeed.Follower{
 		Name: "daemon", Client: client, Sources: sources, Source: source, Random: random.Float64,
 		Took:   func(v *crwire.View) { d.took <- v.Revision },
 		Failed: func(source string, _ error) { d.failed <- source },
+		Cut:    func(err error) { d.cut <- err != nil },
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	var done sync.WaitGroup
@@ -99,6 +101,9 @@
 	}
 	stale.stale.Store(false)
 	d.until(t, 100)
+	if diff := cmp.Diff([]bool{true, false}, []bool{<-d.cut, <-d.cut}); diff != "" {
+		t.Errorf("cut off (-want +got):\n%s", diff)
+	}
 }
 
 func TestRestartedDaemonFindsTheFreshInstance(t *testing.T) {
