--- a/internal/crcontrol/control_test.go
+++ b/internal/crcontrol/control_test.go
@@ -22,8 +22,25 @@
 
 // instance is a control instance under test.
 type instance struct {
-	client *crnet.Client
-	addr   string
+	client   *crnet.Client
+	addr     string
+	registry *prometheus.Registry
+}
+
+// counter returns a counter's value.
+func (in *instance) counter(tb testing.TB, name string) float64 {
+	tb.Helper()
+	families, err := in.registry.Gather()
+	if err != nil {
+		tb.Fatal(err)
+	}
+	for _, f := range families {
+		if f.GetName() == name {
+			return f.GetMetric()[0].GetCounter().GetValue()
+		}
+	}
+	tb.Fatalf("no metric %s", name)
+	return 0
 }
 
 // startControl runs one instance that is a quorum by itself.
@@ -33,9 +50,10 @@
 	set.Data = filepath.Join(tb.TempDir(), "data")
 	set.Members = map[uint64]string{1: ""}
 	ready := make(chan string, 1)
+	registry := prometheus.NewRegistry()
 	control := &crcontrol.Control{
 		Settings: &crdoc.Settings{Name: "control-1", Zone: "z1", Zones: []string{"z1", "z2"}, Replica: &set},
-		Ready:    func(addr string) { ready <- addr }, Registry: prometheus.NewRegistry(), Logf: func(string, ...any) {},
+		Ready:    func(addr string) { ready <- addr }, Registry: registry, Logf: func(string, ...any) {},
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	var done sync.WaitGroup
@@ -44,7 +62,7 @@
 			tb.Error(err)
 		}
 	})
-	in := &instance{client: &crnet.Client{}, addr: <-ready}
+	in := &instance{client: &crnet.Client{}, addr: <-ready, registry: registry}
 	in.client.Open()
 	tb.Cleanup(func() {
 		in.client.Close()
