--- a/internal/cragent/agent.go
+++ b/internal/cragent/agent.go
@@ -83,10 +83,9 @@
 	a.caller = &crrun.Caller{Client: a.client}
 	a.view.Store(crfeed.Empty())
 	a.source = crfeed.NewSource(crfeed.Empty())
-	outages := &crfeed.Outages{Logf: a.Logf}
 	follower := &crfeed.Follower{
 		Name: a.Settings.Name, Client: a.client, Sources: a.Settings.Control,
-		Took: a.took, Failed: outages.Failed, Answered: outages.Answered, Source: a.source,
+		Took: a.took, Cut: a.cut, Source: a.source,
 	}
 	a.hint = follower.Hint
 	a.openRequests()
@@ -147,6 +146,15 @@
 	}
 }
 
+// cut notes that no source of the feed answers, or that one does again.
+func (a *Agent) cut(err error) {
+	if err != nil {
+		a.Logf("no feed from control: %v", err)
+		return
+	}
+	a.Logf("the feed is back")
+}
+
 // setState changes the state that is announced.
 func (a *Agent) setState(s crwire.MemberState) { a.state.Store(int64(s)) }
 
--- a/internal/crbalancer/balancer.go
+++ b/internal/crbalancer/balancer.go
@@ -82,10 +82,9 @@
 	if err := engine.Start(); err != nil {
 		return fmt.Errorf("start the HTTP engine: %w", err)
 	}
-	outages := &crfeed.Outages{Logf: b.Logf}
 	follower := &crfeed.Follower{
 		Name: b.Settings.Name, Client: b.client, Sources: b.Settings.Control,
-		Took: b.took, Failed: outages.Failed, Answered: outages.Answered,
+		Took: b.took, Cut: b.cut,
 	}
 	b.hint = follower.Hint
 	loopCtx, cancel := context.WithCancel(context.Background())
@@ -120,3 +119,12 @@
 		b.forwarder.took(v)
 	}
 }
+
+// cut notes that no source of the feed answers, or that one does again.
+func (b *Balancer) cut(err error) {
+	if err != nil {
+		b.Logf("no feed from control: %v", err)
+		return
+	}
+	b.Logf("the feed is back")
+}
