Compare loads by requests far below the limit

Change: load is requests over one constant far below the limit and rises steeply to 100% at it; a request goes to the less loaded of two agents when that is less loaded than here. Priority requests and those that may not be repeated stay unless there is no room.

--- a/internal/cradmit/admission.go
+++ b/internal/cradmit/admission.go
@@ -27,8 +27,10 @@
 	// timeoutLatencies is how long a request ran, in mean latencies, whose
 	// time-out speaks against the backend server.
 	timeoutLatencies = 4
-	// unprovenLimit stands for a limit that has not been bounded.
-	unprovenLimit = 64
+	// idleLimit is what requests are compared with far below the limit.
+	idleLimit = 64
+	// idleMax is the highest load that comes of this.
+	idleMax = 0.5
 	// loadMax is the highest load that is reported, in percent.
 	loadMax = 999
 )
@@ -163,19 +165,20 @@
 		len(a.running) < a.limit.at(now) && a.runningRoutine < a.routineMax(now)
 }
 
-// Load returns requests under way and queued in percent of the limit. Below
-// a limit that answers have not bounded yet there is more room than is known.
-// The same large limit stands for all of these, so that others send what
-// proves it, and servers that are far from their limits share evenly.
+// Load returns how loaded the backend server is, in percent; from 100 on
+// there is no room. Far below its limit a server is as loaded as it has
+// requests: a limit that nothing has reached tells what was, not what it
+// bears. Towards the limit the share of it decides, steeply.
 func (a *Admission) Load(now time.Time) int {
 	if a.limit.probing || a.stalled(now) {
 		return loadMax
 	}
-	inside, limit := len(a.running)+a.Waiting(), a.limit.at(now)
-	if inside < limit && !a.limit.proven {
-		limit = max(limit, unprovenLimit)
+	inside := float64(len(a.running) + a.Waiting())
+	share := inside / float64(a.limit.at(now))
+	if share < 1 {
+		share = max(share*share*share, min(inside/idleLimit, idleMax))
 	}
-	return min(loadMax, inside*100/limit)
+	return int(min(loadMax, 100*share))
 }
 
 // learn feeds the result to the limit. A request that started shortly before
--- a/internal/cradmit/floor.go
+++ b/internal/cradmit/floor.go
@@ -11,9 +11,11 @@
 	// floorMargin is how many standard errors a window's mean is raised by,
 	// so that a window that was low by chance doesn't become the floor.
 	floorMargin = 2.5
-	// reachedMargin is how many standard errors the mean of requests that
-	// started at the limit is lowered by, so that a few don't shrink it.
-	reachedMargin = 1.5
+	// judgeMargin is how many standard errors the mean that is compared is
+	// lowered by, so that few answers don't shrink the limit.
+	judgeMargin = 1.5
+	// reachedFew is how many requests that started at the limit tell about it.
+	reachedFew = 50
 )
 
 // floor compares a class's latency with its own recent minimum.
@@ -26,9 +28,9 @@
 	// request started at the limit.
 	pressed float64
 	reached int
-	means [floorWindows]float64
-	next  int
-	held  int
+	means   [floorWindows]float64
+	next    int
+	held    int
 }
 
 // add records an answer in the window, and whether its request started at
@@ -58,9 +60,11 @@
 	f.means[f.next] = mean + floorMargin*math.Sqrt(variance/n)
 	f.next = (f.next + 1) % floorWindows
 	f.held = min(f.held+1, floorWindows)
-	if f.reached >= windowFew {
-		mean = f.pressed/float64(f.reached) - reachedMargin*math.Sqrt(variance/float64(f.reached))
+	if f.reached >= reachedFew {
+		n = float64(f.reached)
+		mean = f.pressed / n
 	}
+	mean -= judgeMargin * math.Sqrt(variance/n)
 	f.sum, f.squares, f.count = 0, 0, 0
 	f.pressed, f.reached = 0, 0
 	low := math.Inf(1)
--- a/internal/cradmit/limit.go
+++ b/internal/cradmit/limit.go
@@ -75,10 +75,6 @@
 	raised int
 	dipped bool
 
-	// proven says that answers have bounded the limit since its start: what
-	// is above it is more than the backend server has workers for.
-	proven bool
-
 	// ceiling is the limit that failed; growth stops below it until lifted.
 	ceiling float64
 	lifted  time.Time
@@ -162,7 +158,6 @@
 
 // fall multiplies the limit by a share, down to 1.
 func (l *limit) fall(share float64, now time.Time) {
-	l.proven = true
 	l.value = max(1, l.value*share)
 	l.cut = now
 }
@@ -175,7 +170,7 @@
 	l.probing, l.probeAt = true, now.Add(l.wait)
 	l.wait = min(2*l.wait, probeWaitMax)
 	l.open(now)
-	l.raised, l.dipped, l.proven = 0, false, false
+	l.raised, l.dipped = 0, false
 }
 
 // open begins a window.
@@ -216,7 +211,6 @@
 	}
 	if enough && ratio > growRatio {
 		l.raised++
-		l.proven = true
 	}
 	if l.raised >= dipEvery {
 		l.raised, l.dipped = 0, true
--- a/internal/cradmit/peers.go
+++ b/internal/cradmit/peers.go
@@ -7,16 +7,12 @@
 	loadFresh = 2 * time.Second
 	// loadUnknown stands for the load of an agent not heard of lately, in
 	// percent.
-	loadUnknown = 50
+	loadUnknown = 20
 	// loadFull is the load from which an agent has no room, in percent.
 	loadFull = 100
 	// loadForward is the load from which requests go to a less loaded
 	// agent, in percent.
 	loadForward = 5
-	// loadMargin is how much less loaded that agent must be, in percent.
-	loadMargin = 2
-	// loadShare is its load over the load here at most.
-	loadShare = 0.9
 )
 
 // peer is what is known of another agent.
@@ -47,7 +43,7 @@
 // Failed learns that an agent failed.
 func (p *Peers) Failed(name string, now time.Time) { p.get(name).ejection.Failed(now) }
 
-// Pick draws two agents and returns the less loaded one, if it is clearly
+// Pick draws two agents and returns the less loaded one, if it is
 // less loaded than own, the load here in percent. The draw keeps many agents
 // from choosing the same one on old news.
 func (p *Peers) Pick(own int, names []string, now time.Time) (string, bool) {
@@ -68,7 +64,7 @@
 		best = other
 	}
 	load := p.load(best, now)
-	return best, load < loadFull && load+loadMargin <= own && float64(load) <= loadShare*float64(own)
+	return best, load < loadFull && load < own
 }
 
 // Least returns the least loaded agent that isn't ejected, for a request
--- /dev/null
+++ b/internal/cradmit/peers_test.go
@@ -0,0 +1,39 @@
+package cradmit_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"cardamomring.dev/internal/cradmit"
+)
+
+func TestPeersPickOnlyLessLoadedOnes(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		p := &cradmit.Peers{Rand: rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 0)).Float64}
+		names := []string{"a", "b", "c"}
+		loads := map[string]int{}
+		failed := map[string]int{}
+		for _, name := range names {
+			loads[name] = rapid.IntRange(0, 150).Draw(t, name)
+			p.Answered(name, loads[name], epoch)
+			for range rapid.IntRange(0, 4).Draw(t, name+" failures") {
+				p.Failed(name, epoch)
+				failed[name]++
+			}
+		}
+		own := rapid.IntRange(0, 150).Draw(t, "own")
+		for range 20 {
+			name, ok := p.Pick(own, names, epoch)
+			if ok && (loads[name] >= own || loads[name] >= 100 || failed[name] >= 3) {
+				t.Fatalf("picked %s: load %d, %d failures; own load %d", name, loads[name], failed[name], own)
+			}
+			least, ok := p.Least(names, epoch.Add(time.Millisecond))
+			if ok && failed[least] >= 3 {
+				t.Fatalf("least loaded is %s with %d failures", least, failed[least])
+			}
+		}
+	})
+}
--- a/internal/cragent/elsewhere.go
+++ b/internal/cragent/elsewhere.go
@@ -16,7 +16,8 @@
 const (
 	// othersMax is how many other agents a request is offered to.
 	othersMax = 2
-	// loadFull is the load from which a priority request looks for another
+	// loadFull is the load from which requests that are better off here,
+	// priority ones and those that may not be repeated, look for another
 	// agent, in percent.
 	loadFull = 100
 )
@@ -71,12 +72,12 @@
 	}
 }
 
-// forward runs a request at a clearly less loaded agent before it has been
+// forward runs a request at a less loaded agent before it has been
 // tried anywhere: it evens out backend servers of different speed. False
 // means that it has not run and is still to be run here.
 func (a *Agent) forward(ctx context.Context, req *crrun.Request, class crdoc.Class, tried map[string]bool) (crrun.Answer, bool) {
 	load := a.gate.load()
-	if class.Priority && load < loadFull {
+	if (class.Priority || !class.Repeat) && load < loadFull {
 		return crrun.Answer{}, false
 	}
 	members := a.candidates(tried)
--- a/internal/cragent/requests.go
+++ b/internal/cragent/requests.go
@@ -41,7 +41,7 @@
 	}
 	r.MustRegister(c.outcomes, c.answers, c.preemptions, c.retries, c.forwards)
 	r.MustRegister(gauge("limit", "Concurrency limit of the backend server.", limit))
-	r.MustRegister(gauge("load_percent", "Requests under way and queued in percent of the limit.", load))
+	r.MustRegister(gauge("load_percent", "Load of the backend server as other agents see it.", load))
 	return c
 }
 
