--- a/internal/cragent/rig_test.go
+++ b/internal/cragent/rig_test.go
@@ -76,6 +76,14 @@
 
 func startControl(t *testing.T, doc *crdoc.Service) *control {
 	t.Helper()
+	c := newControl(doc)
+	c.server.Start()
+	t.Cleanup(c.server.Close)
+	return c
+}
+
+// newControl returns a control instance that doesn't listen yet.
+func newControl(doc *crdoc.Service) *control {
 	c := &control{state: crstate.New(), source: crfeed.NewSource(crfeed.Empty())}
 	c.apply(crstate.Entry{Kind: crwire.KindApply, Change: &crwire.Change{ID: "1", Kind: crwire.KindApply, Service: doc}})
 	mux := http.NewServeMux()
@@ -83,8 +91,7 @@
 	mux.HandleFunc("POST /announce", c.serveAnnounce)
 	mux.HandleFunc("POST /claim", c.serveClaim)
 	mux.HandleFunc("POST /settle", c.serveSettle)
-	c.server = httptest.NewServer(mux)
-	t.Cleanup(c.server.Close)
+	c.server = httptest.NewUnstartedServer(mux)
 	return c
 }
 
@@ -183,10 +190,15 @@
 
 func startAgent(t *testing.T, name, backend string, control ...string) *child {
 	t.Helper()
-	text, err := json.Marshal(crdoc.Settings{
+	return startAgentWith(t, crdoc.Settings{
 		Name: name, Zone: "a", Zones: []string{"a"}, Control: control,
 		Agent: &crdoc.Agent{Service: "core", Host: name, Backend: backend, Run: "127.0.0.1:0", Weight: 1},
 	})
+}
+
+func startAgentWith(t *testing.T, settings crdoc.Settings) *child {
+	t.Helper()
+	text, err := json.Marshal(settings)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -266,15 +278,12 @@
 		time.Sleep(5 * time.Millisecond)
 	}
 	for _, addr := range addrs {
-		waitRevision(t, addr, c.source.View().Revision)
+		waitRevision(t, newCaller(t).Client, addr, c.source.View().Revision)
 	}
 }
 
-func waitRevision(t *testing.T, addr string, rev uint64) {
+func waitRevision(t *testing.T, client *crnet.Client, addr string, rev uint64) {
 	t.Helper()
-	client := &crnet.Client{}
-	client.Open()
-	defer client.Close()
 	for t.Context().Err() == nil {
 		var feed crwire.Feed
 		if err := client.JSON(t.Context(), addr, "/feed?after=0&wait=0s", nil, &feed); err == nil && feed.Revision >= rev {
