Keep routine starts out of the headroom that priority uses

Cause: routine requests filled their share of the limit beside priority ones, so that the limit was full during a burst; where it lies above the workers, priority then queued inside the backend server.

Change: a routine request starts only while everything under way is below the limit without the headroom, and a priority request that finds no room cancels down to there.

--- a/internal/cradmit/admission.go
+++ b/internal/cradmit/admission.go
@@ -162,7 +162,7 @@
 // Room tells whether a new routine request would start at once.
 func (a *Admission) Room(now time.Time) bool {
 	return !a.limit.probing && !a.stalled(now) && waiting(a.routine) == 0 &&
-		len(a.running) < a.limit.at(now) && a.runningRoutine < a.routineMax(now)
+		len(a.running) < a.routineMax(now)
 }
 
 // Load returns how loaded the backend server is, in percent; from 100 on
--- a/internal/cradmit/bench_test.go
+++ b/internal/cradmit/bench_test.go
@@ -30,17 +30,34 @@
 // kinds are the gates that are compared.
 var kinds = []string{"cardamomring", "fixed"}
 
+const (
+	// spikeCalls is how many priority calls of a spike come at once.
+	spikeCalls = workers * 3 / 4
+	// spikeEvery is the time between two spikes.
+	spikeEvery = 500 * time.Millisecond
+)
+
 // newGate returns a gate of a kind before a server.
 func newGate(kind string, s *sim, v *server) gate {
-	if kind == "fixed" {
+	doc := document(benchLimit)
+	switch kind {
+	case "fixed":
 		return &fixed{sim: s, server: v, limit: v.full}
+	case "bounded":
+		return &fixed{sim: s, server: v, limit: v.full, bound: v.full}
+	case "no-preemption":
+		// What may not be repeated is not preempted.
+		for i := range doc.Classes {
+			doc.Classes[i].Repeat = false
+		}
 	}
-	return newAdmitted(s, v, document(benchLimit))
+	return newAdmitted(s, v, doc)
 }
 
 // priorityBurst warms a server up with routine calls, goes on with a load of
-// them, and returns the delays of a burst of priority calls.
-func priorityBurst(kind string, load float64) []time.Duration {
+// them, and returns the delays of a burst of priority calls: a stream of half
+// the capacity, or spikes.
+func priorityBurst(kind string, load float64, spikes bool) []time.Duration {
 	const from, to = 60 * time.Second, 70 * time.Second
 	s := newSim()
 	g := newGate(kind, s, newServer(s, workers))
@@ -53,7 +70,7 @@
 	s.arrivals(0, 40*time.Second, 1.2*capacity, offer("balance", ignore))
 	s.arrivals(40*time.Second, to, load*capacity, offer("balance", ignore))
 	var delays []time.Duration
-	s.arrivals(from, to, capacity/2, func() {
+	post := func() {
 		arrived := s.now
 		offer("clocking", func(result cradmit.Result, _ bool) {
 			delay := s.now.Sub(arrived)
@@ -62,26 +79,42 @@
 			}
 			delays = append(delays, delay)
 		})()
-	})
+	}
+	if !spikes {
+		s.arrivals(from, to, capacity/2, post)
+	}
+	for at := from; spikes && at < to; at += spikeEvery {
+		for range spikeCalls {
+			s.after(at, post)
+		}
+	}
 	s.runUntil(to + 2*deadline)
 	return delays
 }
 
-func BenchmarkPriorityDelay(b *testing.B) {
+func BenchmarkPriorityStream(b *testing.B) { benchPriority(b, false) }
+
+func BenchmarkPrioritySpikes(b *testing.B) { benchPriority(b, true) }
+
+// benchPriority prints the delay of priority calls by gate and routine load.
+func benchPriority(b *testing.B, spikes bool) {
+	b.Helper()
 	for b.Loop() {
-		for _, kind := range kinds {
-			alone := quantile(priorityBurst(kind, 0), 0.99)
-			for _, load := range []float64{0, 0.5, 1, 2} {
-				delays := priorityBurst(kind, load)
+		for _, kind := range []string{"cardamomring", "no-preemption", "fixed"} {
+			alone := quantile(priorityBurst(kind, 0, spikes), 0.99)
+			text := fmt.Sprintf("%-13s alone p99 %v", kind, alone.Round(time.Millisecond/10))
+			for _, load := range []float64{0.5, 1, 2} {
+				delays := priorityBurst(kind, load, spikes)
 				p99 := quantile(delays, 0.99)
 				ratio := float64(p99) / float64(alone)
-				b.Logf("%-13s routine %3.0f%%: %5d priority calls, p50 %v p99 %v p99.9 %v, p99 is %.2f of alone",
-					kind, 100*load, len(delays), quantile(delays, 0.5).Round(time.Millisecond/10),
+				text += fmt.Sprintf("; routine %.0f%%: p50 %v p99 %v p99.9 %v, %.2f of alone",
+					100*load, quantile(delays, 0.5).Round(time.Millisecond/10),
 					p99.Round(time.Millisecond/10), quantile(delays, 0.999).Round(time.Millisecond/10), ratio)
 				if load == 2 {
 					b.ReportMetric(ratio, kind+"-p99-ratio")
 				}
 			}
+			b.Log(text)
 		}
 	}
 }
@@ -153,7 +186,7 @@
 func BenchmarkGoodput(b *testing.B) {
 	const from, to = 30 * time.Second, 60 * time.Second
 	for b.Loop() {
-		for _, kind := range kinds {
+		for _, kind := range []string{"cardamomring", "fixed", "bounded"} {
 			s := newSim()
 			g := newGate(kind, s, newServer(s, workers))
 			done, late, refused := 0, 0, 0
--- a/internal/cradmit/preempt.go
+++ b/internal/cradmit/preempt.go
@@ -18,13 +18,15 @@
 	}
 }
 
-// makeRoom cancels routine requests for priority ones that wait.
+// makeRoom cancels routine requests for priority ones that wait, until what
+// is under way fits beside the headroom: the limit itself may hold more than
+// the backend server has workers for.
 func (a *Admission) makeRoom(now time.Time) {
 	wanted := waiting(a.priority)
 	if wanted == 0 {
 		return
 	}
-	need := wanted + len(a.running) - a.limit.at(now) - a.preempted
+	need := wanted + len(a.running) - a.routineMax(now) - a.preempted
 	for i := len(a.running) - 1; i >= 0 && need > 0; i-- {
 		r := a.running[i]
 		if r.stage == stageRunning && r.class.doc.Repeat && !r.class.doc.Priority && !r.floored {
--- a/internal/cradmit/room.go
+++ b/internal/cradmit/room.go
@@ -27,7 +27,7 @@
 	if !c.doc.Priority {
 		slots = a.routineMax(now)
 		share = a.share(c)
-		if ahead == 0 && a.runningRoutine < slots && len(a.running) < a.limit.at(now) {
+		if ahead == 0 && len(a.running) < slots {
 			return 0
 		}
 	} else if ahead == 0 {
@@ -56,7 +56,9 @@
 	return c.weight() / total
 }
 
-// routineMax returns how many routine requests may be under way.
+// routineMax returns how many requests may be under way when a routine one
+// starts: priority ones push routine ones out of the room, not into the
+// headroom.
 func (a *Admission) routineMax(now time.Time) int {
 	n := a.limit.at(now)
 	if len(a.priority) == 0 {
--- a/internal/cradmit/schedule.go
+++ b/internal/cradmit/schedule.go
@@ -30,7 +30,7 @@
 	if urgent := a.urgent(); urgent != nil {
 		return urgent, false
 	}
-	if a.runningRoutine >= a.routineMax(now) {
+	if len(a.running) >= a.routineMax(now) {
 		return nil, false
 	}
 	return fair, false
@@ -83,7 +83,7 @@
 		r.cost = c.charge()
 		c.virtual = a.virtual + r.cost.Seconds()/c.weight()
 	}
-	r.reached = len(a.running) >= a.limit.at(now) || a.runningRoutine >= a.routineMax(now)
+	r.reached = len(a.running) >= a.routineMax(now)
 	a.limit.started(r.reached)
 	a.Start(r)
 }
--- a/internal/cradmit/sim_test.go
+++ b/internal/cradmit/sim_test.go
@@ -291,9 +291,11 @@
 // fixed is the baseline: a fixed limit before a first-in first-out queue,
 // without classes, deadlines in the queue or preemption.
 type fixed struct {
-	sim     *sim
-	server  *server
-	limit   int
+	sim    *sim
+	server *server
+	limit  int
+	// bound is the longest queue; 0 is no bound.
+	bound   int
 	running int
 	queue   []*call
 }
@@ -301,6 +303,10 @@
 func (g *fixed) load() int { return (g.running + len(g.queue)) * 100 / g.limit }
 
 func (g *fixed) offer(c *call) {
+	if g.bound > 0 && len(g.queue) >= g.bound {
+		c.ended(cradmit.ResultCancelled, true)
+		return
+	}
 	g.queue = append(g.queue, c)
 	g.pump()
 }
