--- a/internal/cradmit/enum_gen.go
+++ b/internal/cradmit/enum_gen.go
@@ -24,12 +24,12 @@
 // Re-run the stringer command to generate them again.
 func _ResultNoOp() {
 	var x [1]struct{}
-	_ = x[ResultDone-0]
-	_ = x[ResultShed-1]
-	_ = x[ResultTimeout-2]
-	_ = x[ResultUnreachable-3]
-	_ = x[ResultBroken-4]
-	_ = x[ResultCancelled-5]
+	_ = x[ResultDone-(0)]
+	_ = x[ResultShed-(1)]
+	_ = x[ResultTimeout-(2)]
+	_ = x[ResultUnreachable-(3)]
+	_ = x[ResultBroken-(4)]
+	_ = x[ResultCancelled-(5)]
 }
 
 var _ResultValues = []Result{ResultDone, ResultShed, ResultTimeout, ResultUnreachable, ResultBroken, ResultCancelled}
@@ -125,11 +125,11 @@
 // Re-run the stringer command to generate them again.
 func _ReasonNoOp() {
 	var x [1]struct{}
-	_ = x[ReasonClass-0]
-	_ = x[ReasonDeadline-1]
-	_ = x[ReasonFull-2]
-	_ = x[ReasonEjected-3]
-	_ = x[ReasonStalled-4]
+	_ = x[ReasonClass-(0)]
+	_ = x[ReasonDeadline-(1)]
+	_ = x[ReasonFull-(2)]
+	_ = x[ReasonEjected-(3)]
+	_ = x[ReasonStalled-(4)]
 }
 
 var _ReasonValues = []Reason{ReasonClass, ReasonDeadline, ReasonFull, ReasonEjected, ReasonStalled}
