Learn of a zone that is out from agents, also without control

A balancer that can't reach control asks the agent whose envelope showed a later revision for the feed; agents ask one another.

Seen to fail: without the hint, the flows of the zone that is out made no progress within 20 s.

--- a/internal/cragent/agent.go
+++ b/internal/cragent/agent.go
@@ -68,7 +68,10 @@
 	a.caller = &crrun.Caller{Client: a.client}
 	a.view.Store(crfeed.Empty())
 	a.source = crfeed.NewSource(crfeed.Empty())
-	a.hint = func(string, uint64) {}
+	follower := &crfeed.Follower{
+		Client: a.client, Sources: a.Settings.Control, Took: a.took, Failed: a.failed,
+	}
+	a.hint = follower.Hint
 	if err := a.openFlows(); err != nil {
 		return err
 	}
@@ -81,7 +84,8 @@
 		Run: server.Bound(), Datagram: a.datagramAddr(), Weight: set.Weight,
 	}
 	loopCtx, cancel := context.WithCancel(context.Background())
-	a.start(loopCtx)
+	a.loops.Go(func() { follower.Run(loopCtx) })
+	a.loops.Go(func() { a.loop(loopCtx) })
 	a.Ready(server.Bound())
 	<-ctx.Done()
 	err := a.drain(server)
@@ -90,15 +94,6 @@
 	return err
 }
 
-// start runs the agent's loops until ctx ends.
-func (a *Agent) start(ctx context.Context) {
-	follower := &crfeed.Follower{
-		Client: a.client, Sources: a.Settings.Control, Took: a.took, Failed: a.failed,
-	}
-	a.loops.Go(func() { follower.Run(ctx) })
-	a.loops.Go(func() { a.loop(ctx) })
-}
-
 // drain tells control that the agent leaves and finishes what is under way.
 func (a *Agent) drain(server *crnet.Server) error {
 	a.setState(crwire.MemberDraining)
--- a/internal/crbalancer/balancer.go
+++ b/internal/crbalancer/balancer.go
@@ -78,16 +78,16 @@
 	if err := engine.Start(); err != nil {
 		return fmt.Errorf("start the HTTP engine: %w", err)
 	}
-	b.hint = func(string, uint64) {}
+	follower := &crfeed.Follower{
+		Client: b.client, Sources: b.Settings.Control, Took: b.took, Failed: b.failed,
+	}
+	b.hint = follower.Hint
 	loopCtx, cancel := context.WithCancel(context.Background())
 	if err := b.openDatagrams(loopCtx.Done()); err != nil {
 		cancel()
 		engine.Stop()
 		return err
 	}
-	follower := &crfeed.Follower{
-		Client: b.client, Sources: b.Settings.Control, Took: b.took, Failed: b.failed,
-	}
 	b.loops.Go(func() { follower.Run(loopCtx) })
 	b.Ready(addr)
 	<-ctx.Done()
--- a/internal/crbalancer/cluster_test.go
+++ b/internal/crbalancer/cluster_test.go
@@ -53,6 +53,8 @@
 	pool    *x509.CertPool
 	nodes   map[string]*node
 	serials int64
+	// controlAt is where processes that start find control.
+	controlAt string
 }
 
 // node is a running balancer or agent.
@@ -72,6 +74,7 @@
 		t: t, dir: t.TempDir(), control: newControl(t), fabric: fabric,
 		pool: x509.NewCertPool(), nodes: map[string]*node{},
 	}
+	c.controlAt = c.control.addr
 	fabric.Addr = loopback
 	if err := fabric.Start(); err != nil {
 		t.Fatal(err)
@@ -142,7 +145,7 @@
 // settings returns what every process shares.
 func (c *cluster) settings(name, zone string) *crdoc.Settings {
 	return &crdoc.Settings{
-		Name: name, Zone: zone, Zones: zones, Control: []string{c.control.server.Bound()},
+		Name: name, Zone: zone, Zones: zones, Control: []string{c.controlAt},
 		Keys: []crdoc.Key{{ID: 1, File: c.path("shared")}},
 	}
 }
--- a/internal/crbalancer/control_test.go
+++ b/internal/crbalancer/control_test.go
@@ -16,7 +16,7 @@
 // fakeControl stands for control: it numbers agents and serves the feed.
 type fakeControl struct {
 	source *crfeed.Source
-	server *crnet.Server
+	addr   string
 
 	mu   sync.Mutex
 	nums map[string]uint32
@@ -26,12 +26,13 @@
 func newControl(t *testing.T) *fakeControl {
 	t.Helper()
 	c := &fakeControl{source: crfeed.NewSource(crfeed.Empty()), nums: map[string]uint32{}}
-	c.server = c.listen(t)
+	c.addr, _ = c.listen(t)
 	return c
 }
 
-// listen opens one more address of the same control.
-func (c *fakeControl) listen(t *testing.T) *crnet.Server {
+// listen opens one more address of the same control, and returns it with
+// what closes it.
+func (c *fakeControl) listen(t *testing.T) (addr string, cut func()) {
 	t.Helper()
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /feed", c.serveFeed)
@@ -40,8 +41,9 @@
 	if err := server.Start(); err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(func() { _ = server.Close() })
-	return server
+	cut = sync.OnceFunc(func() { _ = server.Close() })
+	t.Cleanup(cut)
+	return server.Bound(), cut
 }
 
 // change moves the view forward.
--- a/internal/crbalancer/zone_test.go
+++ b/internal/crbalancer/zone_test.go
@@ -56,3 +56,32 @@
 		t.Errorf("more flows broke than ended in the zone: %d requests, %d connections, flows %d", failed, cut, lost)
 	}
 }
+
+// TestZoneOutAtBalancerCutFromControl takes a zone out while one balancer
+// can't reach control: it learns of it from agents.
+func TestZoneOutAtBalancerCutFromControl(t *testing.T) {
+	const flows = 6
+	c := newCluster(t, &crfake.Fabric{Seed: 6})
+	for i, zone := range zones {
+		c.startAgent(fmt.Sprint("agent", i), zone, 1)
+	}
+	addr, cutControl := c.control.listen(t)
+	c.controlAt = addr
+	c.startBalancer("balancer0", loopback)
+	c.spray()
+	l := startLoad(c, flows, 2000, true)
+	cutControl()
+	cut, left := c.nodes["balancer0"], c.nodes["agent1"]
+	c.out(zones[1])
+	time.Sleep(zonePromise)
+	before, forwarded := left.received(t), cut.counts(t)["balancer_forwarded_total"]
+	l.progress("with a zone out")
+	l.progress("with a zone out, again")
+	late := left.received(t) - before
+	more := cut.counts(t)["balancer_forwarded_total"] - forwarded
+	l.end()
+	t.Logf("packets to the zone later than %s: %v; forwarded meanwhile by the balancer that is cut: %v", zonePromise, late, more)
+	if diff := cmp.Diff(0.0, late); diff != "" || more == 0 {
+		t.Errorf("packets to the zone, forwarded %v: %s", more, diff)
+	}
+}
--- /dev/null
+++ b/internal/crfeed/follower_test.go
@@ -0,0 +1,164 @@
+package crfeed_test
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"go.uber.org/goleak"
+
+	"cardamomring.dev/internal/crfeed"
+	"cardamomring.dev/internal/crnet"
+	"cardamomring.dev/internal/crwire"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// sender serves a feed on loopback.
+type sender struct {
+	*crfeed.Source
+	addr  string
+	stale atomic.Bool
+}
+
+// serve starts a sender of a source.
+func serve(tb testing.TB, source *crfeed.Source, stale bool) *sender {
+	tb.Helper()
+	s := &sender{Source: source}
+	s.stale.Store(stale)
+	stopping, stop := context.WithCancel(context.Background())
+	mux := http.NewServeMux()
+	mux.Handle("GET /feed", &crfeed.Handler{Source: source, Stale: s.stale.Load, Stopping: stopping})
+	server := &crnet.Server{Addr: "127.0.0.1:0", Handler: mux}
+	if err := server.Start(); err != nil {
+		tb.Fatal(err)
+	}
+	s.addr = server.Bound()
+	tb.Cleanup(func() {
+		stop()
+		if err := server.Close(); err != nil {
+			tb.Error(err)
+		}
+	})
+	return s
+}
+
+// daemon is a follower under test.
+type daemon struct {
+	*crfeed.Follower
+	took   chan uint64
+	failed chan string
+}
+
+// follow starts a follower of senders.
+func follow(tb testing.TB, source *crfeed.Source, sources ...string) *daemon {
+	tb.Helper()
+	client := &crnet.Client{}
+	client.Open()
+	d := &daemon{took: make(chan uint64, 1000), failed: make(chan string, 1000)}
+	random := rand.New(rand.NewPCG(1, 2))
+	d.Follower = &crfeed.Follower{
+		Name: "daemon", Client: client, Sources: sources, Source: source, Random: random.Float64,
+		Took:   func(v *crwire.View) { d.took <- v.Revision },
+		Failed: func(source string, _ error) { d.failed <- source },
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	var done sync.WaitGroup
+	done.Go(func() { d.Run(ctx) })
+	tb.Cleanup(func() {
+		cancel()
+		done.Wait()
+		client.Close()
+	})
+	return d
+}
+
+// until waits for a revision.
+func (d *daemon) until(tb testing.TB, rev uint64) {
+	tb.Helper()
+	for got := range d.took {
+		if got == rev {
+			return
+		}
+	}
+}
+
+func TestStartingDaemonTakesNoStaleSettings(t *testing.T) {
+	stale := serve(t, filled(t, 100), true)
+	d := follow(t, nil, stale.addr)
+	for range 3 {
+		<-d.failed
+	}
+	if rev := d.Revision(); rev != 0 || !d.Stale() {
+		t.Errorf("a stale instance fed revision %d", rev)
+	}
+	stale.stale.Store(false)
+	d.until(t, 100)
+}
+
+func TestRestartedDaemonFindsTheFreshInstance(t *testing.T) {
+	stale, fresh := serve(t, filled(t, 100), true), serve(t, filled(t, 400), false)
+	d := follow(t, nil, stale.addr, fresh.addr)
+	if first := <-d.took; first != 400 {
+		t.Errorf("the first settings are of revision %d", first)
+	}
+}
+
+func TestRunningDaemonKeepsTheHighest(t *testing.T) {
+	high, low := filled(t, 10), filled(t, 5)
+	one, two := serve(t, high, false), serve(t, low, true)
+	d := follow(t, nil, one.addr, two.addr)
+	d.until(t, 10)
+	one.stale.Store(true)
+	if err := high.Add(memberDelta(11, 1, "x")); err != nil {
+		t.Fatal(err)
+	}
+	// A stale instance may still move a running daemon forward.
+	d.until(t, 11)
+	for range 4 {
+		<-d.failed
+	}
+	if got := d.Revision(); got != 11 {
+		t.Errorf("revision %d after asking a lower instance, want 11", got)
+	}
+}
+
+func TestHintPullsFromAPeerThatIsAhead(t *testing.T) {
+	control, peer := serve(t, filled(t, 5), false), serve(t, filled(t, 9), true)
+	own := crfeed.NewSource(crfeed.Empty())
+	d := follow(t, own, control.addr)
+	d.until(t, 5)
+	d.Hint(peer.addr, 4)
+	d.Hint(peer.addr, 9)
+	d.until(t, 9)
+	if diff := cmp.Diff(peer.View(), own.View()); diff != "" {
+		t.Errorf("what the daemon passes on (-want +got):\n%s", diff)
+	}
+	// An instance that is behind is left for another one.
+	if err := control.Add(memberDelta(6, 1, "x")); err != nil {
+		t.Fatal(err)
+	}
+	if source := <-d.failed; source != control.addr {
+		t.Errorf("%s failed, want %s", source, control.addr)
+	}
+}
+
+func TestBackoffGrowsToABound(t *testing.T) {
+	var got []time.Duration
+	for _, failures := range []int{1, 3, 4, 7, 30, 3000} {
+		got = append(got, crfeed.Backoff(failures, 3, 1))
+	}
+	ms := time.Millisecond
+	want := []time.Duration{100 * ms, 100 * ms, 200 * ms, 400 * ms, 2000 * ms, 2000 * ms}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("pauses (-want +got):\n%s", diff)
+	}
+	if low := crfeed.Backoff(1, 3, 0); low != 50*ms {
+		t.Errorf("least pause %s", low)
+	}
+}
--- /dev/null
+++ b/internal/crfeed/handler.go
@@ -0,0 +1,69 @@
+package crfeed
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"time"
+)
+
+// waitMax bounds how long a poll stays open.
+const waitMax = 30 * time.Second
+
+// Handler serves GET /feed?after=REV&wait=DURATION&name=NAME from a source.
+// Set the exported fields before use.
+type Handler struct {
+	Source *Source
+	// Stale reports whether the sender can't prove that its view is the one
+	// in force. It is asked last, since the process may have stood still.
+	Stale func() bool
+	// Polled is called with the name and the revision in force of a
+	// follower that polls; nil ignores it.
+	Polled func(name string, after uint64)
+	// Answered is called with the kind and length of each answer; nil
+	// ignores it.
+	Answered func(kind string, n int)
+	// Stopping ends open polls when it ends; nil never does.
+	Stopping context.Context
+}
+
+// ServeHTTP answers one poll.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	query := r.URL.Query()
+	after, err := strconv.ParseUint(query.Get("after"), 10, 64)
+	if err != nil {
+		http.Error(w, "after: want a revision", http.StatusBadRequest)
+		return
+	}
+	wait, err := time.ParseDuration(query.Get("wait"))
+	if err != nil {
+		wait = 0
+	}
+	if name := query.Get("name"); h.Polled != nil && name != "" {
+		h.Polled(name, after)
+	}
+	answer := h.wait(r, after, min(wait, waitMax))
+	body, kind := answer.Body(), answer.Kind()
+	if h.Stale() {
+		body, kind = answer.StaleBody(), "stale"
+	}
+	if h.Answered != nil {
+		h.Answered(kind, len(body))
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(body)
+}
+
+// wait returns the answer, at the latest when the sender stops. A sender
+// that is stale doesn't keep a follower waiting.
+func (h *Handler) wait(r *http.Request, after uint64, wait time.Duration) *Answer {
+	if h.Stale() {
+		wait = 0
+	}
+	ctx, cancel := context.WithCancel(r.Context())
+	defer cancel()
+	if h.Stopping != nil {
+		defer context.AfterFunc(h.Stopping, cancel)()
+	}
+	return h.Source.Poll(ctx, after, wait)
+}
--- /dev/null
+++ b/internal/crfeed/source_test.go
@@ -0,0 +1,116 @@
+package crfeed_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"cardamomring.dev/internal/crfeed"
+	"cardamomring.dev/internal/crwire"
+	"cardamomring.dev/pkg/crdoc"
+)
+
+// memberDelta returns the delta that sets one agent at a revision.
+func memberDelta(rev uint64, num uint32, host string) *crwire.Delta {
+	return &crwire.Delta{From: rev - 1, To: rev, Members: []crwire.Member{{Num: num, Host: host}}}
+}
+
+// filled returns a source after n changes of ten agents.
+func filled(tb testing.TB, n int) *crfeed.Source {
+	tb.Helper()
+	s := crfeed.NewSource(crfeed.Empty())
+	for rev := 1; rev <= n; rev++ {
+		if err := s.Add(memberDelta(uint64(rev), uint32(rev%10), fmt.Sprint(rev))); err != nil {
+			tb.Fatal(err)
+		}
+	}
+	return s
+}
+
+// drawDelta draws the delta after a revision.
+func drawDelta(t *rapid.T, from uint64) crwire.Delta {
+	name := rapid.SampledFrom([]string{"a", "b", "c"})
+	d := crwire.Delta{From: from, To: from + 1}
+	if rapid.Bool().Draw(t, "service") {
+		d.Services = []*crdoc.Service{{Name: name.Draw(t, "name"), Version: from}}
+	}
+	if rapid.Bool().Draw(t, "zoned") {
+		d.Zoned, d.Out = true, []string{name.Draw(t, "zone")}
+	}
+	if rapid.Bool().Draw(t, "member") {
+		d.Members = []crwire.Member{{
+			Num: rapid.Uint32Range(1, 3).Draw(t, "num"), Host: name.Draw(t, "host"),
+			State: rapid.SampledFrom(crwire.MemberStateValues()).Draw(t, "state"),
+		}}
+	}
+	return d
+}
+
+func TestAnswersLeadFromAnyRevisionToTheView(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		source := crfeed.NewSource(crfeed.Empty())
+		views := []*crwire.View{source.View()}
+		for range rapid.IntRange(1, 20).Draw(t, "changes") {
+			d := drawDelta(t, source.View().Revision)
+			if err := source.Add(&d); err != nil {
+				t.Fatal(err)
+			}
+			views = append(views, source.View())
+		}
+		for rev, v := range views {
+			got, err := crfeed.Take(v, source.Answer(context.Background(), uint64(rev), 0))
+			if err != nil {
+				t.Fatal(err)
+			}
+			if diff := cmp.Diff(source.View(), got); diff != "" {
+				t.Fatalf("from revision %d (-want +got):\n%s", rev, diff)
+			}
+		}
+	})
+}
+
+func TestAnswersInAnyOrderNeverGoBack(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		source := crfeed.NewSource(crfeed.Empty())
+		var answers []*crwire.Feed
+		for rev := range uint64(10) {
+			d := drawDelta(t, rev)
+			if err := source.Add(&d); err != nil {
+				t.Fatal(err)
+			}
+			after := rapid.Uint64Range(0, rev).Draw(t, "after")
+			answers = append(answers, source.Answer(context.Background(), after, 0))
+		}
+		v := crfeed.Empty()
+		for _, a := range rapid.Permutation(answers).Draw(t, "order") {
+			// A delta that doesn't fit is an error and changes nothing.
+			next, _ := crfeed.Take(v, a)
+			if next.Revision < v.Revision {
+				t.Fatalf("revision %d after %d", next.Revision, v.Revision)
+			}
+			v = next
+		}
+	})
+}
+
+func TestBurstComesAsOneDelta(t *testing.T) {
+	source := filled(t, 400)
+	feed := source.Answer(context.Background(), 100, 0)
+	if len(feed.Deltas) != 1 || len(feed.Deltas[0].Members) != 10 || feed.Deltas[0].To != 400 {
+		t.Errorf("300 changes of 10 agents: %+v", feed)
+	}
+	if feed := filled(t, 5000).Answer(context.Background(), 100, 0); feed.Snapshot == nil {
+		t.Error("too far behind: no snapshot")
+	}
+}
+
+func TestSubscribersShareOneAnswer(t *testing.T) {
+	source := filled(t, 50)
+	one, two := source.Poll(context.Background(), 49, 0), source.Poll(context.Background(), 49, 0)
+	if one != two || &one.Body()[0] != &two.Body()[0] {
+		t.Error("two subscribers at one revision got two answers")
+	}
+}
