--- a/internal/cragent/agent.go
+++ b/internal/cragent/agent.go
@@ -7,6 +7,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -57,25 +58,41 @@
 	source *crfeed.Source
 	// hint asks for the feed where a later revision was seen.
 	hint func(source string, rev uint64)
+	// gate admits requests to the backend server.
+	gate *gate
+	// others are the other agents of the service.
+	others *others
+	// requests counts requests.
+	requests *requests
 }
 
 // Run serves until ctx ends; then it drains and stops.
 func (a *Agent) Run(ctx context.Context) error {
 	set := a.Settings.Agent
-	a.client = &crnet.Client{}
+	calling, err := crnet.ClientTLS(a.Settings.TLS)
+	if err != nil {
+		return err
+	}
+	listening, err := crnet.ServerTLS(a.Settings.TLS, true)
+	if err != nil {
+		return err
+	}
+	a.client = &crnet.Client{TLS: calling}
 	a.client.Open()
 	defer a.client.Close()
 	a.caller = &crrun.Caller{Client: a.client}
 	a.view.Store(crfeed.Empty())
 	a.source = crfeed.NewSource(crfeed.Empty())
 	follower := &crfeed.Follower{
-		Client: a.client, Sources: a.Settings.Control, Took: a.took, Failed: a.failed,
+		Name: a.Settings.Name, Client: a.client, Sources: a.Settings.Control,
+		Took: a.took, Failed: a.failed, Source: a.source,
 	}
 	a.hint = follower.Hint
+	a.openRequests()
 	if err := a.openFlows(); err != nil {
 		return err
 	}
-	server := &crnet.Server{Addr: set.Run, Handler: http.HandlerFunc(a.serve)}
+	server := &crnet.Server{Addr: set.Run, Handler: http.HandlerFunc(a.serve), TLS: listening}
 	if err := server.Start(); err != nil {
 		return errors.Join(err, a.closeFlows())
 	}
@@ -84,16 +101,22 @@
 		Run: server.Bound(), Datagram: a.datagramAddr(), Weight: set.Weight,
 	}
 	loopCtx, cancel := context.WithCancel(context.Background())
-	a.loops.Go(func() { follower.Run(loopCtx) })
-	a.loops.Go(func() { a.loop(loopCtx) })
+	a.start(loopCtx, follower)
 	a.Ready(server.Bound())
 	<-ctx.Done()
-	err := a.drain(server)
+	err = a.drain(server)
 	cancel()
 	a.loops.Wait()
 	return err
 }
 
+// start runs the agent's loops until ctx ends.
+func (a *Agent) start(ctx context.Context, follower *crfeed.Follower) {
+	a.loops.Go(func() { follower.Run(ctx) })
+	a.loops.Go(func() { a.loop(ctx) })
+	a.loops.Go(func() { a.gate.loop(ctx) })
+}
+
 // drain tells control that the agent leaves and finishes what is under way.
 func (a *Agent) drain(server *crnet.Server) error {
 	a.setState(crwire.MemberDraining)
@@ -113,10 +136,13 @@
 
 // took stores a later view.
 func (a *Agent) took(v *crwire.View) {
+	if doc := v.Services[a.member.Service]; doc != nil {
+		a.gate.configure(doc)
+	}
 	a.view.Store(v)
-	a.source.Reset(v)
 	if a.flows != nil {
 		a.flows.datagrams.took(v)
+		a.flows.watch(slices.Contains(v.Out, a.member.Zone))
 	}
 }
 
