Tell an opening flow by the ID its caller chose; canonical envelopes

Cause: the flow table knew a caller by its address alone.

Change: an opening flow has its own entry, by the caller's address and a hash of the connection ID that the caller chose; the way back to a caller is an entry of its address alone. An agent passes the new connection on and goes on answering the old one.

A header now has one form only: no empty service, no IPv4 address in 16 bytes; a forward or an answer without a service is malformed.

--- a/internal/cragent/datagram.go
+++ b/internal/cragent/datagram.go
@@ -14,9 +14,10 @@
 )
 
 const (
-	// flowsLive and flowsOpening bound the flow table.
+	// flowsLive and flowsOpening bound the flow table; an opening flow takes
+	// two entries.
 	flowsLive    = 200_000
-	flowsOpening = 20_000
+	flowsOpening = 40_000
 	// liveIdle ends a flow that no datagram has used; the QUIC connection
 	// has ended by then.
 	liveIdle = 2 * time.Minute
@@ -201,7 +202,7 @@
 	if reason != crroute.ReasonNone {
 		return reason
 	}
-	action := d.flows.Decide(&d.env, head.Long && head.First, time.Now())
+	action := d.flows.Decide(&d.env, crroute.OpeningKey(head.Dest), head.Long && head.First, time.Now())
 	d.counters.decided(action)
 	switch action {
 	case crflow.ActionHandle, crflow.ActionAccept:
--- a/internal/crbalancer/load_test.go
+++ b/internal/crbalancer/load_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/tls"
 	"errors"
+	"net"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -32,13 +33,19 @@
 	dials  atomic.Int64
 	// cut counts connections that ended by an error.
 	cut atomic.Int64
+	// shared carries all connections of the flow by one socket; nil opens
+	// a socket for each.
+	shared *quic.Transport
 }
 
 // startLoad starts n flows, and returns when each has had an answer.
 func startLoad(c *cluster, n, size int, lossy bool) *load {
 	l := &load{c: c, stop: make(chan struct{}), lossy: lossy}
-	for range n {
+	for i := range n {
 		f := &busyFlow{caller: c.caller(), size: size}
+		if i%2 == 1 {
+			f.shared = c.socket()
+		}
 		tr, ok := f.caller.client.Transport.(*http3.Transport)
 		if !ok {
 			c.t.Fatal("the client's transport is not HTTP/3")
@@ -57,7 +64,7 @@
 	ctx context.Context, addr string, tlsConf *tls.Config, conf *quic.Config,
 ) (*quic.Conn, error) {
 	f.dials.Add(1)
-	conn, err := quic.DialAddrEarly(ctx, addr, tlsConf, conf)
+	conn, err := f.connect(ctx, addr, tlsConf, conf)
 	if err != nil {
 		return nil, err
 	}
@@ -71,6 +78,32 @@
 	return conn, nil
 }
 
+// connect opens a connection by the flow's own socket or by a new one.
+func (f *busyFlow) connect(
+	ctx context.Context, addr string, tlsConf *tls.Config, conf *quic.Config,
+) (*quic.Conn, error) {
+	if f.shared == nil {
+		return quic.DialAddrEarly(ctx, addr, tlsConf, conf)
+	}
+	udp, err := net.ResolveUDPAddr("udp", addr)
+	if err != nil {
+		return nil, err
+	}
+	return f.shared.DialEarly(ctx, udp, tlsConf, conf)
+}
+
+// socket returns a QUIC client's side on a new socket.
+func (c *cluster) socket() *quic.Transport {
+	c.t.Helper()
+	conn, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	tr := &quic.Transport{Conn: conn}
+	c.t.Cleanup(func() { _ = tr.Close(); _ = conn.Close() })
+	return tr
+}
+
 // run sends requests until the load is halted.
 func (f *busyFlow) run(l *load) {
 	for {
--- a/internal/crflow/bench_test.go
+++ b/internal/crflow/bench_test.go
@@ -19,8 +19,8 @@
 		runtime.ReadMemStats(&before)
 		table := newTable(flows, flows/10)
 		for i := range flows {
-			table.Put(callerAt(i), crflow.Flow{Return: back}, epoch)
-			table.Confirm(callerAt(i), epoch)
+			table.Put(crflow.Key{Caller: callerAt(i)}, crflow.Flow{Return: back}, epoch)
+			table.Confirm(crflow.Key{Caller: callerAt(i)}, epoch)
 		}
 		runtime.GC()
 		runtime.ReadMemStats(&after)
@@ -38,14 +38,14 @@
 	e.Owned = true
 	for i := range flows {
 		e.Caller = callerAt(i)
-		m.flows[1].Decide(e, false, epoch)
+		m.flows[1].Decide(e, 0, false, epoch)
 	}
 	b.ReportAllocs()
 	i := 0
 	for b.Loop() {
 		i = (i + 7919) % flows
 		e.Caller = callerAt(i)
-		m.flows[1].Decide(e, false, epoch)
+		m.flows[1].Decide(e, 0, false, epoch)
 	}
 }
 
--- a/internal/crflow/flows.go
+++ b/internal/crflow/flows.go
@@ -43,60 +43,63 @@
 	returns returns
 }
 
-// Decide says what to do with a caller's datagram; first says that it may
-// begin a flow. On ActionPass the envelope names the next agent as its
-// receiver. Every first packet of an opening flow gets the same decision:
-// the table remembers it.
-func (f *Flows) Decide(e *crwire.Envelope, first bool, now time.Time) Action {
+// Decide says what to do with a caller's datagram. opening stands for the
+// connection ID that the caller chose, unless the ID is ours; first says that
+// the datagram may begin a flow. On ActionPass the envelope names the next
+// agent as its receiver. Every first packet of an opening flow gets the same
+// decision: the table remembers it.
+func (f *Flows) Decide(e *crwire.Envelope, opening uint32, first bool, now time.Time) Action {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.returns.note(e.Return, now)
-	known, ok := f.Table.Get(e.Caller, now)
+	if e.Owned {
+		f.answerBy(e, now)
+		f.Table.Confirm(Key{Caller: e.Caller}, now)
+		return ActionHandle
+	}
+	key := Key{Caller: e.Caller, Opening: max(opening, 1)}
+	known, ok := f.Table.Get(key, now)
 	switch {
-	case e.Owned || ok && known.Passed == 0:
-		f.own(e, known, ok, now)
+	case ok && known.Passed == 0:
+		f.answerBy(e, now)
 		return ActionHandle
 	case ok && !returned(e) && f.Known(known.Passed):
-		return f.pass(e, known.Passed)
+		return f.pass(e, key, known.Passed)
 	case first:
-		return f.open(e, now)
+		return f.open(e, key, now)
 	}
 	next, ok := f.next(e)
 	if !ok {
 		return ActionStray
 	}
-	return f.pass(e, next)
+	return f.pass(e, key, next)
 }
 
-// own records the way back of a flow that is ours.
-func (f *Flows) own(e *crwire.Envelope, known Flow, ok bool, now time.Time) {
-	if !ok || known.Return != e.Return || known.Passed != 0 {
-		f.Table.Put(e.Caller, Flow{Return: e.Return}, now)
-	}
-	if e.Owned {
-		f.Table.Confirm(e.Caller, now)
-	}
+// answerBy records the way back to a caller.
+func (f *Flows) answerBy(e *crwire.Envelope, now time.Time) {
+	f.Table.Put(Key{Caller: e.Caller}, Flow{Return: e.Return}, now)
 }
 
 // open decides about a flow that this agent doesn't hold.
-func (f *Flows) open(e *crwire.Envelope, now time.Time) Action {
+func (f *Flows) open(e *crwire.Envelope, key Key, now time.Time) Action {
 	next, more := f.next(e)
 	if e.Position >= e.Accept && (f.Room() || !more && f.Last()) {
-		f.Table.Put(e.Caller, Flow{Return: e.Return}, now)
+		f.Table.Put(key, Flow{}, now)
+		f.answerBy(e, now)
 		return ActionAccept
 	}
 	if !more {
 		return ActionRefuse
 	}
-	f.Table.Put(e.Caller, Flow{Return: e.Return, Passed: next}, now)
-	return f.pass(e, next)
+	f.Table.Put(key, Flow{Passed: next}, now)
+	return f.pass(e, key, next)
 }
 
 // pass makes an agent the receiver. A chain without a place left has gone
 // round in circles: the flow is then decided anew next time.
-func (f *Flows) pass(e *crwire.Envelope, to uint32) Action {
+func (f *Flows) pass(e *crwire.Envelope, key Key, to uint32) Action {
 	if !e.Pass(to) {
-		f.Table.Remove(e.Caller)
+		f.Table.Remove(key)
 		return ActionRefuse
 	}
 	return ActionPass
@@ -123,8 +126,8 @@
 func (f *Flows) Return(caller netip.AddrPort, now time.Time) (netip.AddrPort, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	flow, ok := f.Table.Get(caller, now)
-	if !ok || flow.Passed != 0 {
+	flow, ok := f.Table.Get(Key{Caller: caller}, now)
+	if !ok {
 		return netip.AddrPort{}, false
 	}
 	return f.returns.pick(flow.Return, now), true
--- a/internal/crflow/flows_test.go
+++ b/internal/crflow/flows_test.go
@@ -43,13 +43,19 @@
 	return e
 }
 
-// send sends a datagram along a chain and returns who handled it, 0 for
-// nobody.
-func (m *mesh) send(first bool, accept int, chain ...uint32) uint32 {
+// open sends a first packet of a connection along a chain and returns who
+// handled it, 0 for nobody.
+func (m *mesh) open(connection uint32, accept int, chain ...uint32) uint32 {
+	return m.send(connection, true, accept, chain...)
+}
+
+// send sends a datagram of an opening connection along a chain and returns
+// who handled it, 0 for nobody.
+func (m *mesh) send(connection uint32, first bool, accept int, chain ...uint32) uint32 {
 	e := envelope(accept, chain...)
 	for range crwire.ChainMax {
 		num := e.Chain[e.Position]
-		switch m.flows[num].Decide(e, first, epoch) {
+		switch m.flows[num].Decide(e, connection, first, epoch) {
 		case crflow.ActionAccept:
 			m.accepted = append(m.accepted, num)
 			return num
@@ -90,7 +96,7 @@
 		for _, num := range test.known {
 			m.unknown[num] = true
 		}
-		if diff := cmp.Diff(test.want, m.send(test.first, 0, 1, 2, 3)); diff != "" {
+		if diff := cmp.Diff(test.want, m.send(1, test.first, 0, 1, 2, 3)); diff != "" {
 			t.Errorf("%s: %s", test.name, diff)
 		}
 	}
@@ -116,9 +122,9 @@
 			}
 			var got uint32
 			if rapid.Bool().Draw(t, "new table") {
-				got = m.send(true, accept, chain...)
+				got = m.open(1, accept, chain...)
 			} else {
-				got = m.send(true, 0, before...)
+				got = m.open(1, 0, before...)
 			}
 			if owner == 0 {
 				owner = got
@@ -130,14 +136,51 @@
 	})
 }
 
+// TestNewFlowOfKnownCaller opens a second connection from an address whose
+// first one ends at an agent that leaves: the new one goes elsewhere, and the
+// first one stays.
+func TestNewFlowOfKnownCaller(t *testing.T) {
+	m := newMesh(2)
+	owned := func() uint32 {
+		e := envelope(0, 1)
+		e.Owned = true
+		if m.flows[1].Decide(e, 0, false, epoch) == crflow.ActionHandle {
+			return 1
+		}
+		return 0
+	}
+	for _, test := range []struct {
+		name string
+		send func() uint32
+		want uint32
+	}{
+		{"first connection", func() uint32 { return m.open(1, 0, 1, 2) }, 1},
+		{"its later packets", owned, 1},
+		{"its first packet again, while the agent leaves", func() uint32 {
+			m.leaving[1] = true
+			return m.open(1, 0, 1, 2)
+		}, 1},
+		{"second connection", func() uint32 { return m.open(2, 0, 1, 2) }, 2},
+		{"its first packet again", func() uint32 { return m.open(2, 0, 1, 2) }, 2},
+		{"later packets of the first connection", owned, 1},
+	} {
+		if diff := cmp.Diff(test.want, test.send()); diff != "" {
+			t.Errorf("%s: %s", test.name, diff)
+		}
+		if _, ok := m.flows[1].Return(callerAt(1), epoch); !ok {
+			t.Errorf("%s: agent 1 has no way back to the caller", test.name)
+		}
+	}
+}
+
 // TestLoop lets two agents point at each other: the flow is decided anew.
 func TestLoop(t *testing.T) {
 	m := newMesh(2)
 	for num, other := range map[uint32]uint32{1: 2, 2: 1} {
-		m.flows[num].Table.Put(callerAt(1), crflow.Flow{Passed: other}, epoch)
+		m.flows[num].Table.Put(crflow.Key{Caller: callerAt(1), Opening: 1}, crflow.Flow{Passed: other}, epoch)
 	}
 	for range 3 {
-		if diff := cmp.Diff(uint32(1), m.send(true, 0, 1, 2)); diff != "" {
+		if diff := cmp.Diff(uint32(1), m.open(1, 0, 1, 2)); diff != "" {
 			t.Error(diff)
 		}
 	}
@@ -148,7 +191,7 @@
 	m.full[1], m.leaving[1] = true, true
 	e := envelope(0, 1)
 	e.Owned = true
-	if diff := cmp.Diff(crflow.ActionHandle, m.flows[1].Decide(e, false, epoch)); diff != "" {
+	if diff := cmp.Diff(crflow.ActionHandle, m.flows[1].Decide(e, 0, false, epoch)); diff != "" {
 		t.Error(diff)
 	}
 	if to, ok := m.flows[1].Return(callerAt(1), epoch); !ok || to != back {
--- a/internal/crflow/returns_test.go
+++ b/internal/crflow/returns_test.go
@@ -18,7 +18,7 @@
 	forward := func(by, caller int, at time.Duration) {
 		e := envelope(0, 1)
 		e.Caller, e.Return = callerAt(caller), balancers[by]
-		m.flows[1].Decide(e, true, epoch.Add(at))
+		m.flows[1].Decide(e, 1, true, epoch.Add(at))
 	}
 	ways := func(at time.Duration) map[netip.AddrPort]int {
 		out := map[netip.AddrPort]int{}
--- a/internal/crflow/table.go
+++ b/internal/crflow/table.go
@@ -5,16 +5,26 @@
 	"time"
 )
 
-// Flow is what is known of one caller's address.
+// Key names an entry of a table.
+type Key struct {
+	// Caller is the caller's address.
+	Caller netip.AddrPort
+	// Opening stands for the connection ID that the caller chose for an
+	// opening flow; 0 names the caller's address alone, by which its flows
+	// are answered.
+	Opening uint32
+}
+
+// Flow is what is known under a key.
 type Flow struct {
 	// Return is where answers go.
 	Return netip.AddrPort
-	// Passed is the agent that the flow was passed on to, 0 when it is ours.
+	// Passed is the agent that an opening flow was passed on to, 0 when it
+	// is ours.
 	Passed uint32
 }
 
-// Table holds flows by the caller's address within a fixed number of
-// entries. New flows go into a small area on probation, where the oldest
+// Table holds flows within a fixed number of entries. New flows go into a small area on probation, where the oldest
 // makes room for the next; a flow that Confirm has named moves to the live
 // area, where only an idle one makes room. So a flood of first packets
 // pushes out other first packets and never a live flow. Set the exported
@@ -29,7 +39,7 @@
 	// OpenIdle ends a flow on probation that no datagram has used.
 	OpenIdle time.Duration
 
-	index     map[address]int32
+	index     map[key]int32
 	entries   []entry
 	live      list
 	probation list
@@ -46,7 +56,7 @@
 	passed    uint32
 	prev      int32
 	next      int32
-	caller    address
+	key       key
 	back      address
 	confirmed bool
 }
@@ -57,6 +67,15 @@
 	port uint16
 }
 
+// key is a Key in 24 bytes.
+type key struct {
+	caller  address
+	opening uint32
+}
+
+// keyOf returns the short form of a key.
+func keyOf(k Key) key { return key{caller: addressOf(k.Caller), opening: k.Opening} }
+
 // addressOf returns the short form of an address.
 func addressOf(a netip.AddrPort) address { return address{ip: a.Addr().As16(), port: a.Port()} }
 
@@ -74,7 +93,7 @@
 // Open makes the table ready. It takes all the memory that the table's
 // entries will ever take.
 func (t *Table) Open() {
-	t.index = make(map[address]int32)
+	t.index = make(map[key]int32)
 	t.entries = make([]entry, t.Live+t.Probation)
 	t.live, t.probation, t.free = emptyList(), emptyList(), emptyList()
 	for i := range t.entries {
@@ -82,10 +101,10 @@
 	}
 }
 
-// Get returns the flow of a caller and notes that a datagram used it.
-func (t *Table) Get(caller netip.AddrPort, now time.Time) (Flow, bool) {
+// Get returns the flow under a key and notes that a datagram used it.
+func (t *Table) Get(k Key, now time.Time) (Flow, bool) {
 	t.age(now)
-	i, ok := t.index[addressOf(caller)]
+	i, ok := t.index[keyOf(k)]
 	if !ok {
 		return Flow{}, false
 	}
@@ -95,10 +114,10 @@
 }
 
 // Put records a flow, on probation when it is new.
-func (t *Table) Put(caller netip.AddrPort, f Flow, now time.Time) {
+func (t *Table) Put(k Key, f Flow, now time.Time) {
 	t.age(now)
-	key, back := addressOf(caller), addressOf(f.Return)
-	if i, ok := t.index[key]; ok {
+	short, back := keyOf(k), addressOf(f.Return)
+	if i, ok := t.index[short]; ok {
 		t.entries[i].back, t.entries[i].passed = back, f.Passed
 		t.touch(i, now)
 		return
@@ -108,16 +127,16 @@
 	}
 	i := t.free.head
 	t.unlink(&t.free, i)
-	t.entries[i] = entry{caller: key, back: back, passed: f.Passed, seen: now.UnixNano()}
+	t.entries[i] = entry{key: short, back: back, passed: f.Passed, seen: now.UnixNano()}
 	t.push(&t.probation, i)
-	t.index[key] = i
+	t.index[short] = i
 }
 
 // Confirm moves a flow to the live area, if it has room; otherwise the flow
 // stays on probation.
-func (t *Table) Confirm(caller netip.AddrPort, now time.Time) {
+func (t *Table) Confirm(k Key, now time.Time) {
 	t.age(now)
-	i, ok := t.index[addressOf(caller)]
+	i, ok := t.index[keyOf(k)]
 	if !ok || t.entries[i].confirmed || t.live.n == t.Live {
 		return
 	}
@@ -127,9 +146,9 @@
 	t.entries[i].seen = now.UnixNano()
 }
 
-// Remove forgets the flow of a caller.
-func (t *Table) Remove(caller netip.AddrPort) {
-	if i, ok := t.index[addressOf(caller)]; ok {
+// Remove forgets the flow under a key.
+func (t *Table) Remove(k Key) {
+	if i, ok := t.index[keyOf(k)]; ok {
 		t.drop(t.listOf(i), i)
 	}
 }
@@ -161,7 +180,7 @@
 // drop forgets an entry.
 func (t *Table) drop(l *list, i int32) {
 	t.unlink(l, i)
-	delete(t.index, t.entries[i].caller)
+	delete(t.index, t.entries[i].key)
 	t.push(&t.free, i)
 }
 
--- a/internal/crflow/table_test.go
+++ b/internal/crflow/table_test.go
@@ -17,6 +17,11 @@
 	back  = netip.MustParseAddrPort("10.0.0.1:9")
 )
 
+// keyAt returns the key of the i-th caller.
+func keyAt(i int) crflow.Key {
+	return crflow.Key{Caller: callerAt(i / 2), Opening: uint32(i % 2)}
+}
+
 // callerAt returns the address of the i-th caller.
 func callerAt(i int) netip.AddrPort {
 	var ip [4]byte
@@ -35,16 +40,16 @@
 	const live, flood = 100, 100_000
 	table := newTable(live, 10)
 	for i := range live {
-		table.Put(callerAt(i), crflow.Flow{Return: back}, epoch)
-		table.Confirm(callerAt(i), epoch)
+		table.Put(keyAt(i), crflow.Flow{Return: back}, epoch)
+		table.Confirm(keyAt(i), epoch)
 	}
 	for i := range flood {
-		table.Put(callerAt(live+i), crflow.Flow{Return: back}, epoch)
-		table.Confirm(callerAt(live+i), epoch)
+		table.Put(keyAt(live+i), crflow.Flow{Return: back}, epoch)
+		table.Confirm(keyAt(live+i), epoch)
 	}
 	kept := 0
 	for i := range live {
-		if _, ok := table.Get(callerAt(i), epoch); ok {
+		if _, ok := table.Get(keyAt(i), epoch); ok {
 			kept++
 		}
 	}
@@ -68,7 +73,7 @@
 // age. The table's areas are larger than the number of callers.
 func TestTableModel(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		table, model, now := newTable(8, 8), map[netip.AddrPort]*modelFlow{}, epoch
+		table, model, now := newTable(8, 8), map[crflow.Key]*modelFlow{}, epoch
 		age := func() {
 			for caller, m := range model {
 				idle := table.OpenIdle
@@ -80,7 +85,7 @@
 				}
 			}
 		}
-		caller := rapid.Map(rapid.IntRange(0, 7), callerAt)
+		caller := rapid.Map(rapid.IntRange(0, 7), keyAt)
 		t.Repeat(map[string]func(*rapid.T){
 			"wait": func(t *rapid.T) {
 				now = now.Add(time.Duration(rapid.IntRange(0, 20).Draw(t, "seconds")) * time.Second)
@@ -111,7 +116,7 @@
 				got, ok := table.Get(c, now)
 				m := model[c]
 				if ok != (m != nil) || ok && got != m.flow {
-					t.Fatalf("%s: got %+v %v, want %+v", c, got, ok, m)
+					t.Fatalf("%+v: got %+v %v, want %+v", c, got, ok, m)
 				}
 				if ok {
 					m.seen = now
--- a/internal/crroute/packet.go
+++ b/internal/crroute/packet.go
@@ -1,6 +1,10 @@
 package crroute
 
-import "encoding/binary"
+import (
+	"encoding/binary"
+
+	"github.com/cespare/xxhash/v2"
+)
 
 const (
 	// longBit is set in the first byte of a long header (RFC 9000, 17.2).
@@ -49,3 +53,7 @@
 	}
 	return Packet{Long: true, Dest: b[longMin : longMin+n], First: len(b) >= initialMin}, ReasonNone
 }
+
+// OpeningKey returns the number that stands for the connection ID that a
+// caller chose.
+func OpeningKey(dest []byte) uint32 { return uint32(xxhash.Sum64(dest)) }
--- a/internal/crwire/envelope.go
+++ b/internal/crwire/envelope.go
@@ -100,8 +100,10 @@
 	dst = append(dst, make([]byte, envelopeFixed)...)
 	header := len(dst)
 	dst = appendUint(dst, fieldKind, uint64(e.Kind))
-	dst = protowire.AppendTag(dst, fieldService, protowire.BytesType)
-	dst = protowire.AppendBytes(dst, e.Service)
+	if len(e.Service) > 0 {
+		dst = protowire.AppendTag(dst, fieldService, protowire.BytesType)
+		dst = protowire.AppendBytes(dst, e.Service)
+	}
 	dst = appendAddr(dst, fieldCaller, e.Caller)
 	dst = appendAddr(dst, fieldReturn, e.Return)
 	dst = appendUint(dst, fieldRevision, e.Revision)
@@ -239,7 +241,7 @@
 	var ok bool
 	switch field {
 	case fieldService:
-		e.Service, ok = v, len(v) <= serviceMax
+		e.Service, ok = v, len(v) > 0 && len(v) <= serviceMax
 	case fieldCaller:
 		e.Caller, ok = readAddr(v)
 	case fieldReturn:
@@ -248,13 +250,16 @@
 	return ok
 }
 
-// readAddr reads an address.
+// readAddr reads an address; an IPv4 one has 4 bytes.
 func readAddr(v []byte) (netip.AddrPort, bool) {
 	n := len(v) - 2
 	if n != 4 && n != 16 {
 		return netip.AddrPort{}, false
 	}
 	ip, _ := netip.AddrFromSlice(v[:n])
+	if ip.Is4In6() {
+		return netip.AddrPort{}, false
+	}
 	return netip.AddrPortFrom(ip, binary.BigEndian.Uint16(v[n:])), true
 }
 
@@ -262,9 +267,9 @@
 func (e *Envelope) valid() bool {
 	switch e.Kind {
 	case EnvelopeForward:
-		return e.Caller.IsValid() && e.Return.IsValid() && e.Position < e.Len && e.Accept <= e.Len
+		return len(e.Service) > 0 && e.Caller.IsValid() && e.Return.IsValid() && e.Position < e.Len && e.Accept <= e.Len
 	case EnvelopeAnswer:
-		return e.Caller.IsValid() && e.Len == 0
+		return len(e.Service) > 0 && e.Caller.IsValid() && e.Len == 0
 	default:
 		return e.Kind == EnvelopeNotice
 	}
--- a/internal/crwire/envelope_test.go
+++ b/internal/crwire/envelope_test.go
@@ -102,6 +102,7 @@
 		{"no way back", change(func(e *crwire.Envelope) { e.Return = netip.AddrPort{} }), crwire.ErrEnvelopeHeader},
 		{"kind", change(func(e *crwire.Envelope) { e.Kind = 9 }), crwire.ErrEnvelopeHeader},
 		{"long name", change(func(e *crwire.Envelope) { e.Service = make([]byte, 64) }), crwire.ErrEnvelopeHeader},
+		{"no service", change(func(e *crwire.Envelope) { e.Service = nil }), crwire.ErrEnvelopeHeader},
 		{"answer with a chain", change(func(e *crwire.Envelope) { e.Kind = crwire.EnvelopeAnswer }), crwire.ErrEnvelopeHeader},
 	} {
 		var e crwire.Envelope
