Hand over the lead under load, and let claims outlast an election

Cause: a leader that stopped handed over only to a follower that held its whole log at that moment, which under load none does; and it closed its listener first, so that no acknowledgement could arrive. Followers then waited for an election timeout, and agents refused every keyed request meanwhile, because a claim that no instance answers was refused at once. Ruled out: a hand-over without load (30 to 85 ms without an answer), forwarding between instances.

Change: a leader that stops takes no new entries, goes on until a follower holds the log (at most 1 s), hands over, and only then closes its listener; proposals under way get their answer. An agent asks for an unavailable claim again for half of the remaining deadline, under the same attempt.

--- a/internal/cragent/claim.go
+++ b/internal/cragent/claim.go
@@ -17,6 +17,9 @@
 const (
 	// claimTimeout bounds one call to a control instance.
 	claimTimeout = 2 * time.Second
+	// claimShare is the part of the remaining time for which a claim waits
+	// for control to answer at all.
+	claimShare = 0.5
 	// heldWait is the first pause before a held claim is asked for again.
 	heldWait = 20 * time.Millisecond
 	// heldWaitMax bounds the pause, which doubles.
@@ -72,12 +75,20 @@
 }
 
 // claim asks control until the claim is granted, recorded or refused, or the
-// deadline is over.
+// deadline is over. While no instance answers, as during an election, it asks
+// again for a part of the time only, so that enough is left to run.
 func (a *Agent) claim(ctx context.Context, claim crwire.Claim) crwire.Claimed {
 	claimed := crwire.Claimed{Verdict: crwire.VerdictUnavailable}
+	patience := patienceOf(ctx)
 	for wait := heldWait; !over(ctx); wait = min(2*wait, heldWaitMax) {
 		claimed = a.askClaim(ctx, claim)
-		if claimed.Verdict != crwire.VerdictHeld {
+		switch claimed.Verdict {
+		case crwire.VerdictHeld:
+		case crwire.VerdictUnavailable:
+			if !time.Now().Before(patience) {
+				return claimed
+			}
+		default:
 			return claimed
 		}
 		pause(ctx, wait)
@@ -85,6 +96,16 @@
 	return claimed
 }
 
+// patienceOf returns until when an unavailable claim is asked for again.
+func patienceOf(ctx context.Context) time.Time {
+	now := time.Now()
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return now
+	}
+	return now.Add(time.Duration(claimShare * float64(deadline.Sub(now))))
+}
+
 // askClaim asks the control instances in turn; the same attempt gets the
 // same verdict from each.
 func (a *Agent) askClaim(ctx context.Context, claim crwire.Claim) crwire.Claimed {
--- a/internal/cragent/requests_test.go
+++ b/internal/cragent/requests_test.go
@@ -190,6 +190,19 @@
 	}
 }
 
+// TestClaimOutlastsAnElection lets control refuse claims for a while, as it
+// does without a leader: a request whose deadline allows it waits.
+func TestClaimOutlastsAnElection(t *testing.T) {
+	p := startPairWithin(t, time.Minute, crfake.Switches{})
+	p.control.refuse(20)
+	if diff := cmp.Diff(done(deposit), p.call(t, request("POST", "/deposits", "k", "d"))); diff != "" {
+		t.Errorf("answer (-want +got):\n%s", diff)
+	}
+	if n := p.backends[0].Runs()["d"] + p.backends[1].Runs()["d"]; n != 1 {
+		t.Errorf("ran %d times, want 1", n)
+	}
+}
+
 func TestClaimWhoseTimeIsOverDoesNotRun(t *testing.T) {
 	p := startPair(t, crfake.Switches{})
 	p.control.freeze(2 * faultTime)
--- a/internal/cragent/rig_test.go
+++ b/internal/cragent/rig_test.go
@@ -72,6 +72,8 @@
 	frozen time.Duration
 	// lost counts down claims whose answer is lost.
 	lost int
+	// refused counts down claims that find no leader.
+	refused int
 }
 
 func startControl(t *testing.T, doc *crdoc.Service) *control {
@@ -129,6 +131,10 @@
 	if !crnet.ReadJSON(w, r, 1<<16, &claim) {
 		return
 	}
+	if c.refuses() {
+		http.Error(w, "no leader", http.StatusServiceUnavailable)
+		return
+	}
 	reply := c.apply(crstate.Entry{Kind: crwire.KindClaims, Claims: []crwire.Claim{claim}})
 	c.mu.Lock()
 	frozen, lost := c.frozen, c.lost > 0
@@ -292,6 +298,21 @@
 	}}})
 }
 
+// refuse lets the next n claims find no leader.
+func (c *control) refuse(n int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.refused = n
+}
+
+// refuses counts a claim down.
+func (c *control) refuses() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.refused--
+	return c.refused >= 0
+}
+
 // freeze delays the answers to claims.
 func (c *control) freeze(d time.Duration) {
 	c.mu.Lock()
--- a/internal/crcontrol/control.go
+++ b/internal/crcontrol/control.go
@@ -96,6 +96,7 @@
 	case failure = <-c.failed:
 	}
 	cancel()
+	<-c.replica.Ended()
 	stopCtx, stop := context.WithTimeout(context.Background(), stopGrace)
 	defer stop()
 	err = server.Stop(stopCtx)
--- a/internal/crreplica/link.go
+++ b/internal/crreplica/link.go
@@ -134,7 +134,7 @@
 	case r.inbox <- b:
 		crnet.WriteJSON(w, http.StatusOK, struct{}{})
 	case <-req.Context().Done():
-	case <-r.life.Done():
+	case <-r.ended:
 		http.Error(w, "stopping", http.StatusServiceUnavailable)
 	}
 }
--- a/internal/crreplica/propose.go
+++ b/internal/crreplica/propose.go
@@ -68,7 +68,17 @@
 		return out.value, out.err
 	case <-ctx.Done():
 		return nil, ErrNoQuorum
-	case <-r.life.Done():
+	case <-r.ended:
+		return p.last()
+	}
+}
+
+// last returns the answer of a proposal to a replica that has stopped.
+func (p proposal) last() (any, error) {
+	select {
+	case out := <-p.result:
+		return out.value, out.err
+	default:
 		return nil, ErrStopped
 	}
 }
--- a/internal/crreplica/replica.go
+++ b/internal/crreplica/replica.go
@@ -77,9 +77,11 @@
 	// default.
 	Every uint64
 
-	node      *crquorum.Node
-	core      *Core
-	life      context.Context
+	node *crquorum.Node
+	core *Core
+	life context.Context
+	// ended is closed when the loop has ended.
+	ended     chan struct{}
 	calls     chan func()
 	proposals chan proposal
 	inbox     chan Batch
@@ -106,6 +108,10 @@
 	}
 }
 
+// Ended is closed when Run has ended; until then a leader that stops hands
+// over, and its calls must be served.
+func (r *Replica) Ended() <-chan struct{} { return r.ended }
+
 // Routes serves the calls of the other instances, under /quorum/.
 func (r *Replica) Routes() http.Handler {
 	mux := http.NewServeMux()
--- a/internal/crreplica/replica_test.go
+++ b/internal/crreplica/replica_test.go
@@ -8,6 +8,7 @@
 	"os"
 	"path/filepath"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -31,6 +32,7 @@
 	server   *crnet.Server
 	routes   atomic.Pointer[http.Handler]
 	received atomic.Int64
+	handed   atomic.Int64 // how often this leader handed over
 	stop     context.CancelFunc
 	done     chan error
 }
@@ -96,6 +98,11 @@
 		Snapshot: func() []byte { return []byte(strconv.Itoa(in.sum)) },
 		Restore:  func(data []byte) (err error) { in.sum, err = strconv.Atoi(string(data)); return err },
 		Changed:  func(crreplica.Status) {},
+		Logf: func(format string, _ ...any) {
+			if strings.Contains(format, "take over") {
+				in.handed.Add(1)
+			}
+		},
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	in.stop, in.done = cancel, make(chan error, 1)
@@ -108,9 +115,9 @@
 func (g *group) halt(id uint64) {
 	g.tb.Helper()
 	in := g.all[id]
-	in.routes.Store(nil)
 	in.stop()
 	g.check(<-in.done)
+	in.routes.Store(nil)
 	in.done = nil
 }
 
@@ -419,3 +426,53 @@
 	}
 	return total
 }
+
+// TestReplicaHandsOverUnderLoad stops the leader while entries are on their
+// way: a follower takes over at once, without an election timeout.
+func TestReplicaHandsOverUnderLoad(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	const rounds = 5
+	g := newGroup(t, initial)
+	defer g.close()
+	for id := uint64(1); id <= initial; id++ {
+		g.start(id, filepath.Join(t.TempDir(), fmt.Sprint(id)))
+	}
+	g.propose(1)
+	for round := range rounds {
+		leader := g.leader()
+		dir, before := leader.Settings.Data, leader.handed.Load()
+		ctx, cancel := context.WithCancel(context.Background())
+		var load sync.WaitGroup
+		for range 8 {
+			load.Go(func() {
+				for ctx.Err() == nil {
+					_, _ = leader.Propose(ctx, []byte("1"))
+				}
+			})
+		}
+		g.propose(1)
+		g.halt(leader.id)
+		cancel()
+		load.Wait()
+		if leader.handed.Load() == before {
+			t.Errorf("round %d: instance %d stopped without handing over", round, leader.id)
+		}
+		g.start(leader.id, dir)
+		g.propose(1)
+		g.settled()
+	}
+}
+
+// settled waits until every running instance holds what is committed.
+func (g *group) settled() {
+	for {
+		commits := map[uint64]bool{}
+		for _, in := range g.all {
+			commits[in.Status().Commit] = true
+		}
+		if len(commits) == 1 {
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
--- a/internal/crreplica/run.go
+++ b/internal/crreplica/run.go
@@ -13,6 +13,10 @@
 	"cardamomring.dev/internal/crstore"
 )
 
+// handOverMax bounds how long a leader that stops waits for a follower that
+// holds the whole log.
+const handOverMax = time.Second
+
 // Open loads what is on disk and makes the replica ready for Run, Propose and
 // Do. Entries after the snapshot are applied once the leader says how far the
 // log is committed. Call Run after it: Run frees the data folder.
@@ -24,6 +28,7 @@
 	if r.Every == 0 {
 		r.Every = snapshotDefault
 	}
+	r.ended = make(chan struct{})
 	r.calls = make(chan func())
 	r.proposals = make(chan proposal)
 	r.inbox = make(chan Batch, inboxSize)
@@ -73,6 +78,7 @@
 	if err == nil {
 		err = r.handOver()
 	}
+	close(r.ended)
 	for _, l := range r.links {
 		close(l.quit)
 	}
@@ -180,13 +186,40 @@
 	return r.Restore(snap.Data)
 }
 
-// handOver asks a follower to take over before this leader stops.
+// handOver makes a follower take over before this leader stops. Entries that
+// are on their way must reach it first, so that the leader goes on for a while
+// without taking new ones.
 func (r *Replica) handOver() error {
+	ticker := time.NewTicker(r.Tick)
+	defer ticker.Stop()
+	end := time.Now().Add(handOverMax)
+	if len(r.node.Status().Config.Members) == 1 {
+		return r.settle()
+	}
+	for r.node.Status().Leader == r.Settings.ID && !r.transfer() && time.Now().Before(end) {
+		var err error
+		select {
+		case <-ticker.C:
+			r.advance()
+		case b := <-r.inbox:
+			r.advance()
+			err = r.step(b)
+		}
+		if err = errors.Join(err, r.settle()); err != nil {
+			return err
+		}
+	}
+	return r.settle()
+}
+
+// transfer asks the first follower that holds the whole log to take over;
+// false when there is none.
+func (r *Replica) transfer() bool {
 	for _, id := range r.node.Status().Config.IDs() {
 		if id != r.Settings.ID && r.node.Transfer(id) == nil {
 			r.logf("instance %d is to take over the lead", id)
-			break
+			return true
 		}
 	}
-	return r.settle()
+	return false
 }
