--- a/internal/crreplica/replica_test.go
+++ b/internal/crreplica/replica_test.go
@@ -431,7 +431,7 @@
 // way: a follower takes over at once, without an election timeout.
 func TestReplicaHandsOverUnderLoad(t *testing.T) {
 	defer goleak.VerifyNone(t)
-	const rounds = 5
+	const rounds = 20
 	g := newGroup(t, initial)
 	defer g.close()
 	for id := uint64(1); id <= initial; id++ {
@@ -441,6 +441,7 @@
 	for round := range rounds {
 		leader := g.leader()
 		dir, before := leader.Settings.Data, leader.handed.Load()
+		term := leader.Status().Term
 		ctx, cancel := context.WithCancel(context.Background())
 		var load sync.WaitGroup
 		for range 8 {
@@ -450,13 +451,20 @@
 				}
 			})
 		}
+		other := g.all[leader.id%initial+1]
+		g.halt(other.id)
 		g.propose(1)
+		g.start(other.id, other.Settings.Data)
 		g.halt(leader.id)
 		cancel()
 		load.Wait()
 		if leader.handed.Load() == before {
 			t.Errorf("round %d: instance %d stopped without handing over", round, leader.id)
 		}
+		g.propose(1)
+		if now := g.leader().Status().Term; now != term+1 {
+			t.Errorf("round %d: the lead went from term %d to term %d", round, term, now)
+		}
 		g.start(leader.id, dir)
 		g.propose(1)
 		g.settled()
