Number zones and hosts alike in every table; make plans again only when needed

Cause: a table numbered its zones and hosts in the order of a map, so that the same agents gave another table each time. Every view, and every tick of a second, looked like a change: former tables were kept for ever and first packets compared with four of them. Seen as a failure of TestRouteFormers, which now asks whether anything is left to drop.

Change: agents are sorted first, and a plan is made again by the tick only while it holds tables or targets whose time will end.

--- a/internal/cragent/datagram.go
+++ b/internal/cragent/datagram.go
@@ -123,7 +123,7 @@
 func (d *datagrams) refresh(now time.Time) {
 	d.updating.Lock()
 	defer d.updating.Unlock()
-	if d.view != nil {
+	if d.router.Timed() {
 		d.plan.Store(d.router.Update(d.view, now))
 	}
 }
--- a/internal/crbalancer/forwarder.go
+++ b/internal/crbalancer/forwarder.go
@@ -96,14 +96,17 @@
 	f.listen()
 }
 
-// refresh drops tables whose time is over.
+// refresh drops tables whose time is over, and tries ports again.
 func (f *forwarder) refresh(now time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.view != nil {
+	if f.view == nil {
+		return
+	}
+	if f.router.Timed() {
 		f.plan.Store(f.router.Update(f.view, now))
-		f.listen()
 	}
+	f.listen()
 }
 
 // listen opens the ports that the documents ask for and closes the others.
--- a/internal/crroute/router.go
+++ b/internal/crroute/router.go
@@ -48,6 +48,8 @@
 	targets  map[uint32]Target
 	// last is the highest number ever seen.
 	last uint32
+	// timed says that it holds what will be dropped in time.
+	timed bool
 }
 
 // service holds the tables of one service.
@@ -68,6 +70,10 @@
 	plan *Plan
 }
 
+// Timed reports whether the plan holds tables or targets that a later Update
+// with the same view would drop.
+func (r *Router) Timed() bool { return r.plan != nil && r.plan.timed }
+
 // Update returns the plan for a view at a time. Calling it again with the
 // same view drops the tables and targets whose time is over.
 func (r *Router) Update(v *crwire.View, now time.Time) *Plan {
@@ -83,7 +89,9 @@
 	agents := next.members(v)
 	next.keepGone(old, now)
 	for name := range v.Services {
-		next.services[name] = nextService(old.services[name], name, agents[name], now)
+		svc := nextService(old.services[name], name, agents[name], now)
+		next.services[name] = svc
+		next.timed = next.timed || len(svc.formers) > 0
 	}
 	r.plan = next
 	return next
@@ -120,6 +128,7 @@
 		}
 		if now.Before(t.until) {
 			p.targets[num] = t
+			p.timed = true
 		}
 	}
 }
--- a/internal/crroute/router_test.go
+++ b/internal/crroute/router_test.go
@@ -184,9 +184,15 @@
 	}
 	v.Out = nil
 	chain(v, 3*time.Second)
+	if !router.Timed() {
+		t.Error("former tables are held, but nothing is said to be timed")
+	}
 	if after := chain(v, 19*time.Second); after.Accept != 0 || after.Chain[0] == owner {
 		t.Errorf("former tables must be dropped in time: %+v", after)
 	}
+	if router.Timed() {
+		t.Error("nothing is left to drop, but something is said to be timed")
+	}
 }
 
 // TestRouteAllocates holds the packet path to its promise: nothing that the
--- a/internal/crroute/table.go
+++ b/internal/crroute/table.go
@@ -55,6 +55,9 @@
 
 // NewTable returns the table of the agents.
 func NewTable(agents []Agent) *Table {
+	// Sorted first: zones and hosts get the same small numbers each time.
+	agents = slices.Clone(agents)
+	slices.SortFunc(agents, func(a, b Agent) int { return cmp.Compare(a.Num, b.Num) })
 	t := &Table{agents: make([]slot, 0, len(agents))}
 	zones, hosts := map[string]uint16{}, map[string]uint16{}
 	for _, a := range agents {
@@ -63,7 +66,6 @@
 			weight: float64(max(a.Weight, 1)),
 		})
 	}
-	slices.SortFunc(t.agents, func(a, b slot) int { return cmp.Compare(a.num, b.num) })
 	t.divide()
 	return t
 }
