Send no flow that opens to an agent that has gone

Cause: the chain of a flow that opens begins with the agents that stood first in former tables, which stay for 15 s. The target of an agent that has gone is kept for 30 s, for the flows it may still hold. So the first packets of the flows that it would have got went to a process that no longer ran and could not pass them on: these callers could not connect for up to 15 s after an agent had left or died. Seen in http3.txtar as one request of 2,000 that took 10 to 16 s, in 2 of 5 runs (handshake time-outs of 5 s each).

Ruled out: the handshake crossing the agent's stop alone (one lost packet is sent again after a second, and control knows within 2 s that the agent left).

Change: agents that have gone are left out of the former places of the chain. Packets that name them by connection ID go there as before.

TestRouteFormersGone failed first (chain [8 5 1 6], 8 had gone).

--- a/internal/crroute/router.go
+++ b/internal/crroute/router.go
@@ -218,7 +218,8 @@
 }
 
 // chain routes a datagram of a flow that is opening: the agents that stood
-// first in former tables, then the candidates of the table in force.
+// first in former tables and are still members, then the candidates of the
+// table in force.
 func (p *Plan) chain(svc *service, key uint64, out *Route) Reason {
 	var nums [crwire.ChainMax]uint32
 	now := svc.table.Append(nums[:0], key, chainLen)
@@ -228,7 +229,7 @@
 	for _, f := range svc.formers {
 		num := f.table.First(key)
 		t, ok := p.targets[num]
-		if num == now[0] || !ok || t.Out || slices.Contains(out.Chain[:out.Len], num) {
+		if num == now[0] || !ok || t.Out || !t.until.IsZero() || slices.Contains(out.Chain[:out.Len], num) {
 			continue
 		}
 		out.Chain[out.Len] = num
--- a/internal/crroute/router_test.go
+++ b/internal/crroute/router_test.go
@@ -195,6 +195,21 @@
 	}
 }
 
+// TestRouteFormersGone takes the first agent of a flow that opens away: a
+// process that has gone can't pass the flow's packets on.
+func TestRouteFormersGone(t *testing.T) {
+	s := sealer(t, "one")
+	var router crroute.Router
+	var before, after crroute.Route
+	router.Update(view(1, 9), epoch).Route(s, "ledger", caller, first(), &before)
+	v := view(2, 9)
+	delete(v.Members, before.Chain[0])
+	router.Update(v, epoch.Add(time.Second)).Route(s, "ledger", caller, first(), &after)
+	if after.Chain[0] == before.Chain[0] || after.Accept != 0 {
+		t.Errorf("a flow that opens is sent to agent %d, which has gone: %+v", before.Chain[0], after)
+	}
+}
+
 // TestRouteAllocates holds the packet path to its promise: nothing that the
 // collector must free.
 func TestRouteAllocates(t *testing.T) {
