Repair a lost disk on the answer, and let the test wait for the vote

TestReplicaLostDisks hung in 3 of about 10 runs on a busy machine: it stopped the next instance as soon as the repaired one was fresh and listed, which is so before the leader has demoted the old disk. Two of three were lost at once, and the group rightly stood still. The test now waits for Voting, which is what an operator is told to wait for.

The leader also looks for a repair on each answer of the instance concerned instead of only at the next heartbeat.

--- a/internal/crquorum/change.go
+++ b/internal/crquorum/change.go
@@ -99,27 +99,23 @@
 	return n.add(EntryConfig, c.Encode()), n.hard.Term, nil
 }
 
-// repair demotes a voter whose disk was lost and promotes an instance that
-// holds every committed entry.
-func (n *Node) repair() {
-	if n.mayChange() != nil {
+// repair demotes a voter whose disk was lost, or promotes an instance that
+// holds every committed entry, unless another change is under way.
+func (n *Node) repair(id uint64) {
+	config := n.log.config()
+	p, m := n.peers[id], config.Members[id]
+	if p == nil || p.life == 0 {
 		return
 	}
-	config := n.log.config()
-	for _, id := range config.IDs() {
-		p, m := n.peers[id], config.Members[id]
-		if p == nil || p.life == 0 {
-			continue
-		}
-		switch {
-		case m.Role == RoleVoter && p.life != m.Life:
-			m.Role, m.Life = RoleJoining, p.life
-		case m.Role == RoleJoining && p.match >= n.commit:
-			m.Role, m.Life = RoleVoter, p.life
-		default:
-			continue
-		}
-		_, _, _ = n.change(config.with(id, m))
+	switch {
+	case m.Role == RoleVoter && p.life != m.Life:
+		m.Role, m.Life = RoleJoining, p.life
+	case m.Role == RoleJoining && p.match >= n.commit:
+		m.Role, m.Life = RoleVoter, p.life
+	default:
 		return
 	}
+	if n.mayChange() == nil {
+		_, _, _ = n.change(config.with(id, m))
+	}
 }
--- a/internal/crreplica/replica_test.go
+++ b/internal/crreplica/replica_test.go
@@ -190,7 +190,7 @@
 			g.start(id, t.TempDir())
 			g.wait(id, func(in *instance) bool {
 				s := in.Status()
-				return s.Fresh && len(s.Voters) == 3 && in.sum == total
+				return s.Fresh && s.Voting && len(s.Voters) == 3 && in.sum == total
 			})
 		}
 	}
@@ -332,7 +332,7 @@
 		t.Errorf("sum %d, want 71", got)
 	}
 	for id := range g.members {
-		g.wait(id, func(in *instance) bool { return in.sum == 71 && len(in.Status().Voters) == 3 })
+		g.wait(id, func(in *instance) bool { return in.sum == 71 && len(in.Status().Voters) == 3 && in.Status().Voting })
 	}
 }
 
