Replace a control instance by command; status shows roles; audit by subject

Aim: operators replace an instance and see when a lost disk is repaired, without reading the log.

Weighed: writing the audit line before the log carries the change out was ruled out, because a refused change would then stand as done. The change goes first; its ID keeps it from being carried out again, and the same ID sent again after a lost answer writes the line.

--- a/cmd/cardamomring/script_change_test.go
+++ b/cmd/cardamomring/script_change_test.go
@@ -154,6 +154,8 @@
 type scriptState struct {
 	current *editor
 	polls   *polls
+	// life is an incarnation that the script noted.
+	life uint64
 }
 
 // scriptChanges returns a script's state.
@@ -305,3 +307,45 @@
 	ts.Check(os.WriteFile(ts.MkAbs("race.out"), out.Bytes(), 0o644))
 	ts.Check(os.WriteFile(ts.MkAbs("race.err"), errOut.Bytes(), 0o644))
 }
+
+// awaitRepair waits until a control instance lists another, whose disk was
+// lost, as a voter under another incarnation than the one that life-of noted.
+func awaitRepair(ts *testscript.TestScript, neg bool, args []string) {
+	if neg || len(args) != 2 {
+		ts.Fatalf("usage: await-repair HOST:PORT ID")
+	}
+	noted := scriptChanges(ts).life
+	end := time.Now().Add(awaitMax)
+	for time.Now().Before(end) {
+		if m := lifeAt(ts, args[0], args[1]); m.Role == "voter" && m.Life != noted {
+			return
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	ts.Fatalf("instance %s has no vote again", args[1])
+}
+
+// noteLife notes the incarnation of a control instance as another lists it.
+func noteLife(ts *testscript.TestScript, neg bool, args []string) {
+	if neg || len(args) != 2 {
+		ts.Fatalf("usage: note-life HOST:PORT ID")
+	}
+	scriptChanges(ts).life = lifeAt(ts, args[0], args[1]).Life
+}
+
+// lifeAt asks one control instance how it lists another.
+func lifeAt(ts *testscript.TestScript, addr, id string) crwire.InstanceState {
+	client := &croper.Client{Control: []string{addr}}
+	client.Open()
+	defer client.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), awaitMax)
+	defer cancel()
+	number, err := strconv.ParseUint(id, 10, 64)
+	ts.Check(err)
+	for _, in := range client.Instances(ctx) {
+		if in.Address == addr && in.Status != nil {
+			return in.Status.Members[number]
+		}
+	}
+	return crwire.InstanceState{}
+}
--- a/cmd/cardamomring/script_test.go
+++ b/cmd/cardamomring/script_test.go
@@ -38,6 +38,8 @@
 //	start-polls HOST:PORT     polls the feed of a control instance
 //	stop-polls REVISION       checks that only stale answers were of a lower one
 //	rivals FILE N             writes rival1.json ... that differ
+//	note-life HOST:PORT ID    notes the incarnation of a control instance's disk
+//	await-repair HOST:PORT ID waits until it has a vote under another one
 //	race N PROGRAM ARG...     runs a program N times at once, %d is the number
 //	sum PATTERN WANT FILE...  adds up the first group of the matches
 func TestScripts(t *testing.T) {
@@ -68,6 +70,8 @@
 			"stop-polls":     stopPolls,
 			"rivals":         writeRivals,
 			"race":           race,
+			"note-life":      noteLife,
+			"await-repair":   awaitRepair,
 		},
 	})
 }
--- a/cmd/cardamomring/status.go
+++ b/cmd/cardamomring/status.go
@@ -102,7 +102,7 @@
 	if s == nil {
 		return []string{in.Address, "-", "-", "-", "-", "no answer"}
 	}
-	role, state := "follower", "fresh"
+	role, state := s.Members[s.ID].Role, "fresh"
 	if s.Leading {
 		role = "leader"
 	}
--- a/internal/crcontrol/bench_test.go
+++ b/internal/crcontrol/bench_test.go
@@ -110,7 +110,7 @@
 func fill(b *testing.B, in *instance) uint64 {
 	b.Helper()
 	for i := range 30 {
-		doc := document(fmt.Sprint("s", i), fmt.Sprint("127.0.0.1:", 9000+i), 0)
+		doc := document(fmt.Sprint("s", i), fmt.Sprint("127.0.0.1:", 9000+i))
 		in.must(b, "/change", crwire.Change{ID: fmt.Sprint("f", i), Service: doc}, &crwire.Result{})
 	}
 	var last crwire.Announced
@@ -161,7 +161,7 @@
 	for _, n := range []int{1, 16, 256} {
 		b.Run(fmt.Sprint(n, "-callers"), func(b *testing.B) {
 			in := startControl(b, crdoc.Replica{})
-			in.must(b, "/change", crwire.Change{ID: "1", Service: document("s", "127.0.0.1:9000", 0)}, &crwire.Result{})
+			in.must(b, "/change", crwire.Change{ID: "1", Service: document("s", "127.0.0.1:9000")}, &crwire.Result{})
 			var next atomic.Int64
 			b.ResetTimer()
 			start := time.Now()
--- a/internal/crcontrol/change.go
+++ b/internal/crcontrol/change.go
@@ -63,6 +63,13 @@
 // change commits a change as the leader.
 func (c *Control) change(ctx context.Context, change *crwire.Change) crwire.Result {
 	e := crstate.Entry{Kind: change.Kind, Change: change, Findings: c.check(change)}
+	if change.Kind == crwire.KindInstance && len(e.Findings) == 0 {
+		found, err := c.changeInstance(ctx, change)
+		if err != nil {
+			return unavailable(err, c.replica.Status().Address)
+		}
+		e.Findings = found
+	}
 	reply, err := c.commit(ctx, e)
 	if err != nil {
 		return unavailable(err, c.replica.Status().Address)
@@ -85,6 +92,8 @@
 		if len(zones) > 0 && !slices.Contains(zones, change.Zone) {
 			f.Add("zone", "availability zone %q is not listed", change.Zone)
 		}
+	case crwire.KindInstance:
+		return checkInstance(change.Instance)
 	default:
 		f.Add("kind", "%s is no operator's change", change.Kind)
 	}
--- a/internal/crcontrol/control_test.go
+++ b/internal/crcontrol/control_test.go
@@ -90,9 +90,9 @@
 }
 
 // document returns a service document without findings.
-func document(name, address string, version uint64) *crdoc.Service {
+func document(name, address string) *crdoc.Service {
 	return &crdoc.Service{
-		Name: name, Customer: "c", Version: version, Address: address, Zones: []string{"z1"},
+		Name: name, Customer: "c", Address: address, Zones: []string{"z1"},
 		Limit: crdoc.Limit{Start: 1, Max: 4, Headroom: 0.2}, Keep: crdoc.Duration(time.Hour),
 		Grace: crdoc.Duration(time.Second),
 		Classes: []crdoc.Class{{
@@ -105,7 +105,7 @@
 func TestChangesAnnouncementsAndClaims(t *testing.T) {
 	in := startControl(t, crdoc.Replica{})
 	var result crwire.Result
-	change := crwire.Change{ID: "1", Author: "forged", Service: document("s", "127.0.0.1:9000", 0)}
+	change := crwire.Change{ID: "1", Author: "forged", Service: document("s", "127.0.0.1:9000")}
 	in.must(t, "/change", change, &result)
 	if diff := cmp.Diff(crwire.Result{Revision: 1, Version: 1}, result); diff != "" {
 		t.Errorf("result (-want +got):\n%s", diff)
@@ -137,7 +137,7 @@
 
 func TestConcurrentClaimsOfOneKeyGrantOne(t *testing.T) {
 	in := startControl(t, crdoc.Replica{})
-	in.must(t, "/change", crwire.Change{ID: "1", Service: document("s", "127.0.0.1:9000", 0)}, &crwire.Result{})
+	in.must(t, "/change", crwire.Change{ID: "1", Service: document("s", "127.0.0.1:9000")}, &crwire.Result{})
 	const attempts = 50
 	verdicts := make([]crwire.Verdict, attempts)
 	var calls sync.WaitGroup
--- a/internal/crcontrol/feed.go
+++ b/internal/crcontrol/feed.go
@@ -32,7 +32,7 @@
 	crnet.WriteJSON(w, http.StatusOK, c.source.View())
 }
 
-// serveAudit answers GET /audit?before=SEQ&limit=N with the lines before
+// serveAudit answers GET /audit?before=SEQ&limit=N&subject=S with the lines before
 // one, oldest first.
 func (c *Control) serveAudit(w http.ResponseWriter, r *http.Request) {
 	query := r.URL.Query()
@@ -45,6 +45,6 @@
 		limit = auditPage
 	}
 	var lines []crwire.Audit
-	err = c.replica.Do(func() { lines = c.state.Audit(before, min(limit, auditPageMax)) })
+	err = c.replica.Do(func() { lines = c.state.Audit(before, min(limit, auditPageMax), query.Get("subject")) })
 	c.answer(w, lines, err)
 }
--- a/internal/crcontrol/status.go
+++ b/internal/crcontrol/status.go
@@ -10,9 +10,13 @@
 // serveStatus answers GET /status with what this instance knows.
 func (c *Control) serveStatus(w http.ResponseWriter, _ *http.Request) {
 	s := c.replica.Status()
+	members := map[uint64]crwire.InstanceState{}
+	for id, m := range s.Members {
+		members[id] = crwire.InstanceState{Address: m.Addr, Role: m.Role.String(), Life: m.Life}
+	}
 	crnet.WriteJSON(w, http.StatusOK, crwire.Status{
 		Name: c.Settings.Name, ID: s.ID, Term: s.Term, Leader: s.Leader, Address: s.Address,
-		Leading: s.Leading, Fresh: s.Fresh, Commit: s.Commit, Voters: s.Voters,
+		Leading: s.Leading, Fresh: s.Fresh, Commit: s.Commit, Voters: s.Voters, Members: members,
 		Revision: c.source.View().Revision, Followers: c.followers.list(),
 	})
 }
--- a/internal/crstate/audit.go
+++ b/internal/crstate/audit.go
@@ -25,8 +25,9 @@
 }
 
 // Audit returns at most limit audit lines that come before line number
-// before, oldest first; before 0 means from the end.
-func (s *State) Audit(before uint64, limit int) []crwire.Audit {
+// before, oldest first; before 0 means from the end. A subject that isn't
+// empty selects the lines of one service, zone or instance.
+func (s *State) Audit(before uint64, limit int, subject string) []crwire.Audit {
 	lines := s.image.Audit
 	if before > 0 {
 		i, _ := slices.BinarySearchFunc(lines, before, func(a crwire.Audit, seq uint64) int {
@@ -34,5 +35,12 @@
 		})
 		lines = lines[:i]
 	}
-	return slices.Clone(lines[max(0, len(lines)-limit):])
+	var out []crwire.Audit
+	for i := len(lines) - 1; i >= 0 && len(out) < limit; i-- {
+		if subject == "" || lines[i].Subject == subject {
+			out = append(out, lines[i])
+		}
+	}
+	slices.Reverse(out)
+	return out
 }
--- a/internal/crstate/change.go
+++ b/internal/crstate/change.go
@@ -37,9 +37,12 @@
 	line := crwire.Audit{Time: s.Time, Author: c.Author, ID: c.ID, Kind: c.Kind}
 	var delta *crwire.Delta
 	var result crwire.Result
-	if c.Kind == crwire.KindApply {
+	switch c.Kind {
+	case crwire.KindApply:
 		delta, result = s.applyService(c, e.Findings, &line)
-	} else {
+	case crwire.KindInstance:
+		result = noteInstance(c, e.Findings, &line)
+	default:
 		delta, result = s.applyZone(c, e.Findings, &line)
 	}
 	result.Revision = s.image.Revision
@@ -125,6 +128,24 @@
 	return delta, crwire.Result{Code: crwire.CodeOK}
 }
 
+// noteInstance records a change of a control instance, which the replicated
+// log itself has carried out.
+func noteInstance(c *crwire.Change, found crdoc.Findings, line *crwire.Audit) crwire.Result {
+	if c.Instance != nil {
+		line.Subject = fmt.Sprintf("%s-%d", c.Instance.Op, c.Instance.ID)
+	}
+	if len(found) > 0 {
+		return invalid(found, 0)
+	}
+	return crwire.Result{Code: crwire.CodeOK}
+}
+
+// Answered returns the remembered answer to a change and whether there is one.
+func (s *State) Answered(id string) (crwire.Result, bool) {
+	known, ok := s.recent[id]
+	return known.Result, ok
+}
+
 // invalid answers a change with findings.
 func invalid(found crdoc.Findings, version uint64) crwire.Result {
 	return crwire.Result{Code: crwire.CodeInvalid, Version: version, Findings: found, Text: found.Error()}
--- a/internal/crstate/change_test.go
+++ b/internal/crstate/change_test.go
@@ -64,7 +64,7 @@
 	zone(state, "5", crwire.KindZoneOut, "z")
 	zone(state, "6", crwire.KindZoneOut, "z")
 	var got []string
-	for _, a := range state.Audit(0, 100) {
+	for _, a := range state.Audit(0, 100, "") {
 		got = append(got, fmt.Sprintf("%d rev %d %s %s %s %s", a.Seq, a.Revision, a.Author, a.Kind, a.Subject, a.Code))
 	}
 	want := []string{
@@ -74,7 +74,10 @@
 	if diff := cmp.Diff(want, got); diff != "" {
 		t.Errorf("audit trail (-want +got):\n%s", diff)
 	}
-	if got := len(state.Audit(4, 2)); got != 2 || state.Audit(4, 2)[1].Seq != 3 {
-		t.Errorf("page before 4: %+v", state.Audit(4, 2))
+	if got := state.Audit(0, 1, "t"); len(got) != 1 || got[0].Seq != 4 {
+		t.Errorf("the last line of t: %+v", got)
+	}
+	if got := len(state.Audit(4, 2, "")); got != 2 || state.Audit(4, 2, "")[1].Seq != 3 {
+		t.Errorf("page before 4: %+v", state.Audit(4, 2, ""))
 	}
 }
--- a/internal/crstate/state.go
+++ b/internal/crstate/state.go
@@ -65,7 +65,7 @@
 func (s *State) Apply(e Entry) Reply {
 	s.pass(e.Time)
 	switch e.Kind {
-	case crwire.KindApply, crwire.KindZoneOut, crwire.KindZoneIn:
+	case crwire.KindApply, crwire.KindZoneOut, crwire.KindZoneIn, crwire.KindInstance:
 		return s.applyChange(e)
 	case crwire.KindMembers:
 		return s.applyMembers(e.Members)
--- a/internal/crwire/change.go
+++ b/internal/crwire/change.go
@@ -22,8 +22,31 @@
 	KindClaims
 	// KindOutcomes records the outcomes of claimed requests.
 	KindOutcomes
+	// KindInstance changes who takes part in the replicated log.
+	KindInstance
 )
 
+// Op is what is done to a control instance.
+type Op int
+
+const (
+	// OpAdd admits an instance that receives the log and has no vote.
+	OpAdd Op = iota
+	// OpPromote gives it a vote as soon as it holds the log.
+	OpPromote
+	// OpRemove takes it out.
+	OpRemove
+)
+
+// Instance is a change of a control instance.
+type Instance struct {
+	Op Op `json:"op"`
+	// ID is the instance's number. At least 1.
+	ID uint64 `json:"id"`
+	// Address is its host:port, for OpAdd.
+	Address string `json:"address,omitempty"`
+}
+
 // Code is how control answered a change.
 type Code int
 
@@ -47,12 +70,14 @@
 	ID string `json:"id"`
 	// Author is set by control from the operator's credentials.
 	Author string `json:"author"`
-	// Kind is KindApply, KindZoneOut or KindZoneIn.
+	// Kind is KindApply, KindZoneOut, KindZoneIn or KindInstance.
 	Kind Kind `json:"kind"`
 	// Service is the document of KindApply.
 	Service *crdoc.Service `json:"service,omitempty"`
 	// Zone is the zone of KindZoneOut and KindZoneIn.
 	Zone string `json:"zone,omitempty"`
+	// Instance is the change of KindInstance.
+	Instance *Instance `json:"instance,omitempty"`
 }
 
 // Result answers a change.
--- a/internal/crwire/doc.go
+++ b/internal/crwire/doc.go
@@ -3,4 +3,4 @@
 // claims, and the headers of a run call. The package is pure.
 package crwire
 
-//go:generate enumer -type=MemberState,Kind,Code,Outcome,Verdict,EnvelopeKind -text -trimprefix=Member,Kind,Code,Outcome,Verdict,Envelope -transform=lower -output=enum_gen.go
+//go:generate enumer -type=MemberState,Kind,Code,Outcome,Verdict,EnvelopeKind,Op -text -trimprefix=Member,Kind,Code,Outcome,Verdict,Envelope,Op -transform=lower -output=enum_gen.go
--- a/internal/crwire/status.go
+++ b/internal/crwire/status.go
@@ -18,12 +18,24 @@
 	Commit uint64 `json:"commit"`
 	// Voters maps each voting instance to its host:port.
 	Voters map[uint64]string `json:"voters"`
+	// Members are all instances by ID.
+	Members map[uint64]InstanceState `json:"members"`
 	// Revision is the revision in force here.
 	Revision uint64 `json:"rev"`
 	// Followers are the daemons that poll the feed here.
 	Followers []Follower `json:"followers"`
 }
 
+// InstanceState is a control instance as the replicated log lists it.
+type InstanceState struct {
+	// Address is its host:port.
+	Address string `json:"address"`
+	// Role is voter, joining or learner.
+	Role string `json:"role"`
+	// Life is the incarnation of its disk.
+	Life uint64 `json:"life"`
+}
+
 // Follower is a daemon that polls the feed.
 type Follower struct {
 	// Name is the daemon's name.
--- a/pkg/croper/change.go
+++ b/pkg/croper/change.go
@@ -52,6 +52,26 @@
 	return c.Change(ctx, crwire.Change{ID: c.NewID(), Kind: kind, Zone: zone})
 }
 
+// AddInstance admits a control instance without a vote.
+func (c *Client) AddInstance(ctx context.Context, id uint64, address string) (Result, error) {
+	return c.instance(ctx, crwire.Instance{Op: crwire.OpAdd, ID: id, Address: address})
+}
+
+// PromoteInstance gives a control instance a vote as soon as it holds the log.
+func (c *Client) PromoteInstance(ctx context.Context, id uint64) (Result, error) {
+	return c.instance(ctx, crwire.Instance{Op: crwire.OpPromote, ID: id})
+}
+
+// RemoveInstance takes a control instance out.
+func (c *Client) RemoveInstance(ctx context.Context, id uint64) (Result, error) {
+	return c.instance(ctx, crwire.Instance{Op: crwire.OpRemove, ID: id})
+}
+
+// instance sends the change of a control instance.
+func (c *Client) instance(ctx context.Context, in crwire.Instance) (Result, error) {
+	return c.Change(ctx, crwire.Change{ID: c.NewID(), Kind: crwire.KindInstance, Instance: &in})
+}
+
 // Change sends a change until it is answered for the quorum or ctx ends. The
 // errors are *ConflictError, *InvalidError, ErrDenied and ErrUnreachable.
 func (c *Client) Change(ctx context.Context, change crwire.Change) (Result, error) {
@@ -76,6 +96,9 @@
 // asError returns a refusal as an error.
 func asError(change *crwire.Change, result *Result) error {
 	subject := change.Zone
+	if change.Instance != nil {
+		subject = fmt.Sprintf("instance %d", change.Instance.ID)
+	}
 	if change.Service != nil {
 		subject = change.Service.Name
 	}
--- a/pkg/croper/read.go
+++ b/pkg/croper/read.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"net/url"
 	"slices"
 	"strings"
 
@@ -51,8 +52,9 @@
 }
 
 // Audit returns at most limit lines of the audit trail before line before,
-// oldest first; before 0 means the latest. The answer comes from the leader.
-func (c *Client) Audit(ctx context.Context, before uint64, limit int) ([]Audit, error) {
+// oldest first; before 0 means the latest. A subject that isn't empty selects
+// one service, zone or instance. The answer comes from the leader.
+func (c *Client) Audit(ctx context.Context, before uint64, limit int, subject string) ([]Audit, error) {
 	var lines []Audit
 	err := c.each(ctx, func(addr string) (bool, string, error) {
 		var s Status
@@ -62,7 +64,7 @@
 		if !s.Leading || !s.Fresh {
 			return false, s.Address, errors.New("no leader")
 		}
-		path := fmt.Sprintf("/audit?before=%d&limit=%d", before, limit)
+		path := fmt.Sprintf("/audit?before=%d&limit=%d&subject=%s", before, limit, url.QueryEscape(subject))
 		_, err := c.call(ctx, addr, path, nil, &lines)
 		return err == nil, "", err
 	})
@@ -78,9 +80,9 @@
 		if _, err := c.call(ctx, addrs[i], "/status", nil, in.Status); err != nil {
 			in.Status, in.Error = nil, err.Error()
 		} else {
-			for _, addr := range in.Status.Voters {
-				if addr != "" && !slices.Contains(addrs, addr) {
-					addrs = append(addrs, addr)
+			for _, m := range in.Status.Members {
+				if m.Address != "" && !slices.Contains(addrs, m.Address) {
+					addrs = append(addrs, m.Address)
 				}
 			}
 		}
