--- a/internal/crwire/status.go
+++ b/internal/crwire/status.go
@@ -12,6 +12,9 @@
 	Address string `json:"address"`
 	// Leading says that this instance is the leader.
 	Leading bool `json:"leading"`
+	// Voting says that it votes with the disk that it has; false until a lost
+	// disk is repaired.
+	Voting bool `json:"voting"`
 	// Fresh says that it has lately had contact with a quorum.
 	Fresh bool `json:"fresh"`
 	// Commit is the index of its last committed entry.
@@ -32,8 +35,6 @@
 	Address string `json:"address"`
 	// Role is voter, joining or learner.
 	Role string `json:"role"`
-	// Life is the incarnation of its disk.
-	Life uint64 `json:"life"`
 }
 
 // Follower is a daemon that polls the feed.
