Learn a start that is too high; let one caller's errors collapse nothing

Cause: a server that bears less than the document's start fell over again after each probe. Three error answers in a row, which one faulty caller can cause, sent the limit back to probing.

Change: a limit that fails where it began begins at half of it, and the limit that failed is not tried again for a hold that doubles and is forgotten once it is passed. Error answers are counted apart: ten in a row.

--- a/internal/cradmit/enum_gen.go
+++ b/internal/cradmit/enum_gen.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _ResultName = "doneshedtimeoutunreachablebrokencancelled"
+const _ResultName = "doneshedtimeoutunreachablebrokenerrorcancelled"
 
-var _ResultIndex = [...]uint8{0, 4, 8, 15, 26, 32, 41}
+var _ResultIndex = [...]uint8{0, 4, 8, 15, 26, 32, 37, 46}
 
-const _ResultLowerName = "doneshedtimeoutunreachablebrokencancelled"
+const _ResultLowerName = "doneshedtimeoutunreachablebrokenerrorcancelled"
 
 func (i Result) String() string {
 	if i < 0 || i >= Result(len(_ResultIndex)-1) {
@@ -29,10 +29,11 @@
 	_ = x[ResultTimeout-(2)]
 	_ = x[ResultUnreachable-(3)]
 	_ = x[ResultBroken-(4)]
-	_ = x[ResultCancelled-(5)]
+	_ = x[ResultError-(5)]
+	_ = x[ResultCancelled-(6)]
 }
 
-var _ResultValues = []Result{ResultDone, ResultShed, ResultTimeout, ResultUnreachable, ResultBroken, ResultCancelled}
+var _ResultValues = []Result{ResultDone, ResultShed, ResultTimeout, ResultUnreachable, ResultBroken, ResultError, ResultCancelled}
 
 var _ResultNameToValueMap = map[string]Result{
 	_ResultName[0:4]:   ResultDone,
@@ -40,7 +41,8 @@
 	_ResultName[8:15]:  ResultTimeout,
 	_ResultName[15:26]: ResultUnreachable,
 	_ResultName[26:32]: ResultBroken,
-	_ResultName[32:41]: ResultCancelled,
+	_ResultName[32:37]: ResultError,
+	_ResultName[37:46]: ResultCancelled,
 }
 
 var _ResultLowerNameToValueMap = map[string]Result{
@@ -49,7 +51,8 @@
 	_ResultLowerName[8:15]:  ResultTimeout,
 	_ResultLowerName[15:26]: ResultUnreachable,
 	_ResultLowerName[26:32]: ResultBroken,
-	_ResultLowerName[32:41]: ResultCancelled,
+	_ResultLowerName[32:37]: ResultError,
+	_ResultLowerName[37:46]: ResultCancelled,
 }
 
 var _ResultNames = []string{
@@ -58,7 +61,8 @@
 	_ResultName[8:15],
 	_ResultName[15:26],
 	_ResultName[26:32],
-	_ResultName[32:41],
+	_ResultName[32:37],
+	_ResultName[37:46],
 }
 
 // ResultString retrieves an enum value from the enum constants string name.
--- a/internal/cradmit/limit.go
+++ b/internal/cradmit/limit.go
@@ -37,6 +37,8 @@
 
 	// failuresMax in a row mean a cold or broken backend server.
 	failuresMax = 3
+	// errorsMax errors in a row mean the same.
+	errorsMax = 10
 	// probeWait is the pause before the first probe of a failing server.
 	probeWait = 100 * time.Millisecond
 	// probeWaitMax bounds the pause, which doubles with each failed probe.
@@ -59,8 +61,13 @@
 	value float64
 	// epoch counts collapses; results of an earlier epoch say nothing.
 	epoch int
-	// failures counts failed results since the last whole answer.
+	// begin is where it starts again after a collapse: the document's start,
+	// or less when that was too much.
+	begin float64
+	// failures counts failed results since the last whole answer, errors
+	// those that came as an answer.
 	failures int
+	errors   int
 	// cut is when the limit last fell; failures of requests that started
 	// before it are the same overload.
 	cut time.Time
@@ -89,13 +96,15 @@
 
 // reset begins at the document's start.
 func (l *limit) reset(doc crdoc.Limit, now time.Time) {
-	*l = limit{doc: doc, value: float64(doc.Start), epoch: l.epoch + 1, opened: now, hold: ceilingHold, wait: probeWait}
+	start := float64(doc.Start)
+	*l = limit{doc: doc, value: start, begin: start, epoch: l.epoch + 1, opened: now, hold: ceilingHold, wait: probeWait}
 }
 
 // update takes a changed document and keeps what was learnt.
 func (l *limit) update(doc crdoc.Limit) {
 	l.doc = doc
 	l.value = min(l.value, float64(doc.Max))
+	l.begin = min(l.begin, float64(doc.Start))
 }
 
 // at returns the limit in force.
@@ -114,30 +123,34 @@
 
 // done takes a whole answer.
 func (l *limit) done(now time.Time) {
-	l.failures = 0
+	l.failures, l.errors = 0, 0
 	l.answers++
 	if !l.probing {
 		return
 	}
 	l.probing, l.wait = false, probeWait
-	l.value = float64(l.doc.Start)
+	l.value = l.begin
 	l.open(now)
 }
 
 // fail takes a failed result of a request that started at started. It
 // returns true when the limit collapses.
 func (l *limit) fail(result Result, started, now time.Time) bool {
-	l.failures++
+	if result == ResultError {
+		l.errors++
+	} else {
+		l.failures++
+	}
 	if l.probing {
 		l.probeAt = now.Add(l.wait)
 		l.wait = min(2*l.wait, probeWaitMax)
 		return false
 	}
-	if result == ResultUnreachable || l.failures >= failuresMax {
+	if result == ResultUnreachable || l.failures >= failuresMax || l.errors >= errorsMax {
 		l.collapse(now)
 		return true
 	}
-	if !started.After(l.cut) {
+	if result == ResultError || !started.After(l.cut) {
 		return false
 	}
 	l.hit(now)
@@ -162,11 +175,16 @@
 	l.cut = now
 }
 
-// collapse goes back to the start: the backend server is cold or broken.
+// collapse goes back to the beginning: the backend server is cold or broken.
 func (l *limit) collapse(now time.Time) {
 	l.epoch++
-	l.value = float64(l.doc.Start)
-	l.ceiling = 0
+	l.errors = 0
+	// A limit that fails where it began was too much for a cold server.
+	if l.value <= l.begin {
+		l.begin = max(1, l.begin/2)
+	}
+	l.hit(now)
+	l.value = l.begin
 	l.probing, l.probeAt = true, now.Add(l.wait)
 	l.wait = min(2*l.wait, probeWaitMax)
 	l.open(now)
@@ -225,4 +243,10 @@
 		top = min(top, max(1, l.ceiling-1))
 	}
 	l.value = max(l.value, min(top, l.value+max(1, l.value*growShare)))
+	if l.value > l.ceiling {
+		l.ceiling, l.hold = 0, ceilingHold
+	}
+	if l.value > float64(l.doc.Start) {
+		l.begin = float64(l.doc.Start)
+	}
 }
--- a/internal/cradmit/result.go
+++ b/internal/cradmit/result.go
@@ -14,6 +14,9 @@
 	ResultUnreachable
 	// ResultBroken is a connection or answer that broke.
 	ResultBroken
+	// ResultError is a whole answer that says the backend server failed. One
+	// request may be at fault; many in a row are the server's.
+	ResultError
 	// ResultCancelled is a request that was given up on this side; it says
 	// nothing about the backend server.
 	ResultCancelled
--- a/internal/cragent/run.go
+++ b/internal/cragent/run.go
@@ -154,7 +154,7 @@
 	switch answer.Reason {
 	case "":
 		if answer.Status >= http.StatusInternalServerError {
-			return cradmit.ResultBroken
+			return cradmit.ResultError
 		}
 		return cradmit.ResultDone
 	case crrun.ReasonShed:
