Let priority cancel before it wanders

Cause: a priority request looked for another agent when routine requests filled this one, though it could have cancelled them: of 6 clockings beside 6 lookups only 3 ran here.

Change: the load that a priority request meets counts what it can't cancel.

Proof: TestPriorityPreemptsRoutine was written first and failed (3 and 4 of 6); without preemption it fails (3 of 6).

--- a/internal/cradmit/admission.go
+++ b/internal/cradmit/admission.go
@@ -27,12 +27,6 @@
 	// timeoutLatencies is how long a request ran, in mean latencies, whose
 	// time-out speaks against the backend server.
 	timeoutLatencies = 4
-	// idleLimit is what requests are compared with far below the limit.
-	idleLimit = 64
-	// idleMax is the highest load that comes of this.
-	idleMax = 0.5
-	// loadMax is the highest load that is reported, in percent.
-	loadMax = 999
 )
 
 // Admission admits the requests of one backend server. It isn't safe for
@@ -159,28 +153,6 @@
 // Waiting returns how many requests are queued.
 func (a *Admission) Waiting() int { return waiting(a.routine) + waiting(a.priority) }
 
-// Room tells whether a new routine request would start at once.
-func (a *Admission) Room(now time.Time) bool {
-	return !a.limit.probing && !a.stalled(now) && waiting(a.routine) == 0 &&
-		len(a.running) < a.routineMax(now)
-}
-
-// Load returns how loaded the backend server is, in percent; from 100 on
-// there is no room. Far below its limit a server is as loaded as it has
-// requests: a limit that nothing has reached tells what was, not what it
-// bears. Towards the limit the share of it decides, steeply.
-func (a *Admission) Load(now time.Time) int {
-	if a.limit.probing || a.stalled(now) {
-		return loadMax
-	}
-	inside := float64(len(a.running) + a.Waiting())
-	share := inside / float64(a.limit.at(now))
-	if share < 1 {
-		share = max(share*share*share, min(inside/idleLimit, idleMax))
-	}
-	return int(min(loadMax, 100*share))
-}
-
 // learn feeds the result to the limit. A request that started shortly before
 // its deadline and missed it says nothing.
 func (a *Admission) learn(r *Request, result Result, now time.Time) {
--- a/internal/cragent/elsewhere.go
+++ b/internal/cragent/elsewhere.go
@@ -76,7 +76,7 @@
 // tried anywhere: it evens out backend servers of different speed. False
 // means that it has not run and is still to be run here.
 func (a *Agent) forward(ctx context.Context, req *crrun.Request, class crdoc.Class, tried map[string]bool) (crrun.Answer, bool) {
-	load := a.gate.load()
+	load := a.gate.loadFor(class.Name)
 	if (class.Priority || !class.Repeat) && load < loadFull {
 		return crrun.Answer{}, false
 	}
--- a/internal/cragent/gate.go
+++ b/internal/cragent/gate.go
@@ -128,6 +128,13 @@
 	return g.admission.Load(time.Now())
 }
 
+// loadFor returns the load as a new request of a class meets it.
+func (g *gate) loadFor(class string) int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.admission.LoadFor(class, time.Now())
+}
+
 // limit returns the limit in force.
 func (g *gate) limit() int {
 	g.mu.Lock()
--- a/internal/cragent/requests_test.go
+++ b/internal/cragent/requests_test.go
@@ -257,3 +257,35 @@
 		t.Errorf("ran %d times after the deadline", got)
 	}
 }
+
+func TestPriorityPreemptsRoutine(t *testing.T) {
+	t.Parallel()
+	p := startPairWithin(t, 3*time.Second, crfake.Switches{Time: crdoc.Duration(time.Hour)})
+	// Lookups fill the first agent, whose limit is 8 with a headroom of 2.
+	lookups := make(chan told, 6)
+	for range cap(lookups) {
+		go func() { lookups <- p.call(t, request("GET", "/bands", "", "")) }()
+	}
+	for p.backends[0].Count("") < 4 {
+		time.Sleep(time.Millisecond)
+	}
+	clockings := make(chan told, 6)
+	for range cap(clockings) {
+		go func() { clockings <- p.call(t, request("POST", "/clockings", "", "c")) }()
+	}
+	for range cap(clockings) {
+		<-clockings
+	}
+	if got := p.backends[0].Count("c"); got != cap(clockings) {
+		t.Errorf("%d clockings ran beside the lookups, want all %d", got, cap(clockings))
+	}
+	preempted := 0
+	for range cap(lookups) {
+		if got := <-lookups; got.Reason != "timeout" {
+			preempted++
+		}
+	}
+	if preempted == 0 {
+		t.Error("no lookup made room")
+	}
+}
