--- a/internal/cragent/deposits_test.go
+++ b/internal/cragent/deposits_test.go
@@ -31,7 +31,7 @@
 
 // ledger is three agents that crash, their backend servers, and teachers.
 type ledger struct {
-	control  *control
+	controls []string
 	backends []*crfake.Backend
 	caller   *crrun.Caller
 
@@ -67,7 +67,7 @@
 	old := l.agents[i]
 	l.mu.Unlock()
 	old.kill()
-	next := startAgent(t, fmt.Sprintf("a%d-%d", i, n), l.backends[i].Bound(), l.control.addr())
+	next := startAgent(t, fmt.Sprintf("a%d-%d", i, n), l.backends[i].Bound(), l.controls...)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.agents[i] = next
@@ -143,16 +143,20 @@
 	return answers[0]
 }
 
-func TestDepositsRunAtMostOnceOverCrashes(t *testing.T) {
-	l := &ledger{
-		control: startControl(t, document(300*time.Millisecond)), caller: newCaller(t),
-		ends: map[crwire.Outcome]int{},
-	}
+// newLedger starts the agents beside their backend servers.
+func newLedger(t *testing.T, controls ...string) *ledger {
+	t.Helper()
+	l := &ledger{controls: controls, caller: newCaller(t), ends: map[crwire.Outcome]int{}}
 	for i := range 3 {
 		l.backends = append(l.backends, startBackend(t, crfake.Switches{Time: crdoc.Duration(time.Millisecond)}))
-		l.agents = append(l.agents, startAgent(t, fmt.Sprintf("a%d", i), l.backends[i].Bound(), l.control.addr()))
+		l.agents = append(l.agents, startAgent(t, fmt.Sprintf("a%d", i), l.backends[i].Bound(), controls...))
 	}
-	settleView(t, l.control, 3, l.agents[0].addr, l.agents[1].addr, l.agents[2].addr)
+	return l
+}
+
+// run posts deposits; crash is called between each killEvery of them.
+func (l *ledger) run(t *testing.T, count int, crash func(n int)) {
+	t.Helper()
 	deposits := make(chan int)
 	var all sync.WaitGroup
 	for i := range teachers {
@@ -163,26 +167,33 @@
 			}
 		})
 	}
-	rng := rand.New(rand.NewPCG(depositSeed, teachers))
-	for n := range depositCount {
+	for n := range count {
 		if n%killEvery == killEvery-1 {
-			l.crash(t, rng.IntN(3), n)
+			crash(n)
 		}
 		deposits <- n
 	}
 	close(deposits)
 	all.Wait()
-	l.report(t)
+	l.report(t, count)
+}
+
+func TestDepositsRunAtMostOnceOverCrashes(t *testing.T) {
+	control := startControl(t, document(300*time.Millisecond))
+	l := newLedger(t, control.addr())
+	settleView(t, control, 3, l.agents[0].addr, l.agents[1].addr, l.agents[2].addr)
+	rng := rand.New(rand.NewPCG(depositSeed, teachers))
+	l.run(t, depositCount, func(n int) { l.crash(t, rng.IntN(3), n) })
 }
 
 // report compares the teachers' account with the backend servers'.
-func (l *ledger) report(t *testing.T) {
+func (l *ledger) report(t *testing.T, count int) {
 	t.Helper()
 	total, ran, most := 0, 0, 0
 	for _, n := range l.ends {
 		total += n
 	}
-	for n := range depositCount {
+	for n := range count {
 		runs := l.runs(fmt.Sprintf("deposit-%d", n))
 		most = max(most, runs)
 		ran += min(runs, 1)
@@ -191,7 +202,7 @@
 	if diff := cmp.Diff([]string(nil), l.lies); diff != "" {
 		t.Errorf("untrue answers (-want +got):\n%s", diff)
 	}
-	if total != depositCount || most > 1 || ran < l.ends[crwire.OutcomeDone] {
-		t.Errorf("%d of %d deposits have an answer, one ran %d times", total, depositCount, most)
+	if total != count || most > 1 || ran < l.ends[crwire.OutcomeDone] {
+		t.Errorf("%d of %d deposits have an answer, one ran %d times", total, count, most)
 	}
 }
