--- a/internal/crbalancer/cluster_test.go
+++ b/internal/crbalancer/cluster_test.go
@@ -55,6 +55,8 @@
 	serials int64
 	// controlAt is where processes that start find control.
 	controlAt string
+	// keepAlive is how often waiting callers send something; 0 for never.
+	keepAlive time.Duration
 }
 
 // node is a running balancer or agent.
@@ -256,7 +258,7 @@
 func (c *cluster) caller() *caller {
 	tr := &http3.Transport{
 		TLSClientConfig: &tls.Config{RootCAs: c.pool},
-		QUICConfig:      &quic.Config{MaxIdleTimeout: patience, HandshakeIdleTimeout: patience},
+		QUICConfig:      &quic.Config{MaxIdleTimeout: patience, HandshakeIdleTimeout: patience, KeepAlivePeriod: c.keepAlive},
 	}
 	c.t.Cleanup(func() { _ = tr.Close() })
 	return &caller{client: &http.Client{Transport: tr, Timeout: patience}, url: "https://" + c.fabric.Bound().String()}
--- a/internal/crfake/fabric.go
+++ b/internal/crfake/fabric.go
@@ -63,17 +63,25 @@
 	return out
 }
 
-// Close closes every socket.
-func (f *Fabric) Close() error {
-	err := f.front.Close()
+// Rebind gives every caller another address towards the balancers, as a
+// network address translator does that has lost its state.
+func (f *Fabric) Rebind() {
 	f.mu.Lock()
-	f.closed = true
 	callers := f.callers
 	f.callers = map[netip.AddrPort]*crnet.Socket{}
 	f.mu.Unlock()
 	for _, socket := range callers {
 		_ = socket.Close()
 	}
+}
+
+// Close closes every socket.
+func (f *Fabric) Close() error {
+	err := f.front.Close()
+	f.mu.Lock()
+	f.closed = true
+	f.mu.Unlock()
+	f.Rebind()
 	return err
 }
 
