--- a/internal/crtrial/crowd.go
+++ b/internal/crtrial/crowd.go
@@ -43,7 +43,8 @@
 type Tally struct {
 	// Asked, Done, Notrun and Unknown count requests by their last outcome.
 	Asked, Done, Notrun, Unknown int
-	// Reasons counts the refusals by their reason.
+	// Reasons counts refusals and unknown outcomes by their reason; it is
+	// empty for a flow that broke.
 	Reasons map[string]int
 	// Took holds the time of each answer of a request that has run.
 	Took []time.Duration
@@ -167,6 +168,7 @@
 		t.Reasons[answer.Reason()]++
 	default:
 		t.Unknown++
+		t.Reasons[answer.Reason()]++
 	}
 	if req.Key != "" {
 		t.Final[string(req.Body)] = answer.Outcome
--- a/internal/crtrial/evening_test.go
+++ b/internal/crtrial/evening_test.go
@@ -241,7 +241,7 @@
 	e.t.Logf("%-8s asked %d, done %d, notrun %d, unknown %d, flows broken %d; p50 %v p99 %v",
 		name, t.Asked, t.Done, t.Notrun, t.Unknown, len(t.Broken), at(0.5), at(0.99))
 	if len(t.Reasons) > 0 {
-		e.t.Logf("%-8s refusals by reason: %v", name, t.Reasons)
+		e.t.Logf("%-8s not done, by reason: %v", name, t.Reasons)
 	}
 	var line strings.Builder
 	for _, s := range t.Seconds {
