--- a/internal/crroute/router.go
+++ b/internal/crroute/router.go
@@ -48,6 +48,8 @@
 	targets  map[uint32]Target
 	// last is the highest number ever seen.
 	last uint32
+	// timed says that it holds what will be dropped in time.
+	timed bool
 }
 
 // service holds the tables of one service.
@@ -68,6 +70,10 @@
 	plan *Plan
 }
 
+// Timed reports whether the plan holds tables or targets that a later Update
+// with the same view would drop.
+func (r *Router) Timed() bool { return r.plan != nil && r.plan.timed }
+
 // Update returns the plan for a view at a time. Calling it again with the
 // same view drops the tables and targets whose time is over.
 func (r *Router) Update(v *crwire.View, now time.Time) *Plan {
@@ -83,7 +89,9 @@
 	agents := next.members(v)
 	next.keepGone(old, now)
 	for name := range v.Services {
-		next.services[name] = nextService(old.services[name], name, agents[name], now)
+		svc := nextService(old.services[name], name, agents[name], now)
+		next.services[name] = svc
+		next.timed = next.timed || len(svc.formers) > 0
 	}
 	r.plan = next
 	return next
@@ -120,6 +128,7 @@
 		}
 		if now.Before(t.until) {
 			p.targets[num] = t
+			p.timed = true
 		}
 	}
 }
@@ -209,7 +218,8 @@
 }
 
 // chain routes a datagram of a flow that is opening: the agents that stood
-// first in former tables, then the candidates of the table in force.
+// first in former tables and are still members, then the candidates of the
+// table in force.
 func (p *Plan) chain(svc *service, key uint64, out *Route) Reason {
 	var nums [crwire.ChainMax]uint32
 	now := svc.table.Append(nums[:0], key, chainLen)
@@ -219,7 +229,7 @@
 	for _, f := range svc.formers {
 		num := f.table.First(key)
 		t, ok := p.targets[num]
-		if num == now[0] || !ok || t.Out || slices.Contains(out.Chain[:out.Len], num) {
+		if num == now[0] || !ok || t.Out || !t.until.IsZero() || slices.Contains(out.Chain[:out.Len], num) {
 			continue
 		}
 		out.Chain[out.Len] = num
