Check a backup and restore it by command

Aim: operators check the copy of a log and start again after the loss of a quorum's disks without writing code.

--- a/cmd/cardamomring/args.go
+++ b/cmd/cardamomring/args.go
@@ -44,6 +44,7 @@
 	Get      *getArgs     `arg:"subcommand:get" help:"print the service documents in force"`
 	Zone     *zoneArgs    `arg:"subcommand:zone" help:"take an availability zone out of service or bring it back"`
 	Member   *memberArgs  `arg:"subcommand:member" help:"add, promote or remove a control instance"`
+	Backup   *backupArgs  `arg:"subcommand:backup" help:"check or restore a copy of a control instance's log"`
 	Status   *statusArgs  `arg:"subcommand:status" help:"show members, zones and the revision of each process"`
 	Audit    *auditArgs   `arg:"subcommand:audit" help:"print the audit trail of changes"`
 	Version  *versionArgs `arg:"subcommand:version" help:"print the version"`
@@ -119,6 +120,8 @@
 		return runZone(ctx, a.Zone, out, errOut)
 	case a.Member != nil:
 		return runMember(ctx, a.Member, out, errOut)
+	case a.Backup != nil:
+		return runBackup(a.Backup, out, errOut)
 	case a.Status != nil:
 		return runStatus(ctx, a.Status, out, errOut)
 	case a.Audit != nil:
