--- a/internal/crbalancer/cluster_test.go
+++ b/internal/crbalancer/cluster_test.go
@@ -53,6 +53,10 @@
 	pool    *x509.CertPool
 	nodes   map[string]*node
 	serials int64
+	// controlAt is where processes that start find control.
+	controlAt string
+	// keepAlive is how often waiting callers send something; 0 for never.
+	keepAlive time.Duration
 }
 
 // node is a running balancer or agent.
@@ -72,6 +76,7 @@
 		t: t, dir: t.TempDir(), control: newControl(t), fabric: fabric,
 		pool: x509.NewCertPool(), nodes: map[string]*node{},
 	}
+	c.controlAt = c.control.addr
 	fabric.Addr = loopback
 	if err := fabric.Start(); err != nil {
 		t.Fatal(err)
@@ -142,7 +147,7 @@
 // settings returns what every process shares.
 func (c *cluster) settings(name, zone string) *crdoc.Settings {
 	return &crdoc.Settings{
-		Name: name, Zone: zone, Zones: zones, Control: []string{c.control.server.Bound()},
+		Name: name, Zone: zone, Zones: zones, Control: []string{c.controlAt},
 		Keys: []crdoc.Key{{ID: 1, File: c.path("shared")}},
 	}
 }
@@ -253,7 +258,7 @@
 func (c *cluster) caller() *caller {
 	tr := &http3.Transport{
 		TLSClientConfig: &tls.Config{RootCAs: c.pool},
-		QUICConfig:      &quic.Config{MaxIdleTimeout: patience, HandshakeIdleTimeout: patience},
+		QUICConfig:      &quic.Config{MaxIdleTimeout: patience, HandshakeIdleTimeout: patience, KeepAlivePeriod: c.keepAlive},
 	}
 	c.t.Cleanup(func() { _ = tr.Close() })
 	return &caller{client: &http.Client{Transport: tr, Timeout: patience}, url: "https://" + c.fabric.Bound().String()}
--- a/internal/crquorum/node.go
+++ b/internal/crquorum/node.go
@@ -62,6 +62,8 @@
 	synced uint64
 	// handover is when this leader asked another to take over, 0 for never.
 	handover uint64
+	// chosen is when this instance last chose a group.
+	chosen uint64
 	// started is when this instance became leader.
 	started uint64
 	pledges map[uint64]uint64
@@ -96,7 +98,7 @@
 	n.ticks = map[uint64]uint64{}
 	n.pledges = map[uint64]uint64{}
 	n.now = clockRange + n.Rand(clockRange)
-	n.contact = n.now
+	n.contact, n.chosen = n.now, n.now
 	n.follow(n.hard.Term, 0)
 	if c := n.log.config(); c.Voters() == 1 && c.Counts(n.ID, n.Life) {
 		n.deadline = n.now
@@ -126,98 +128,6 @@
 	}
 }
 
-// Step takes a message from another instance. A message that makes no sense
-// is dropped; an error means that this instance must stop.
-func (n *Node) Step(m Message) error {
-	if m.To != n.ID || m.From == n.ID || m.Life == 0 {
-		return nil
-	}
-	switch m.Kind {
-	case KindHello:
-		n.onHello(m)
-		return nil
-	case KindPledge:
-		return n.onPledge(m)
-	}
-	if !n.sameCluster(m) {
-		return nil
-	}
-	n.ticks[m.From] = m.Tick
-	if m.Term > n.hard.Term && !n.adopt(m) {
-		return nil
-	}
-	if m.Term < n.hard.Term {
-		n.answerStale(m)
-		return nil
-	}
-	return n.dispatch(m)
-}
-
-// dispatch handles a message of the current term, or a probe.
-func (n *Node) dispatch(m Message) error {
-	switch m.Kind {
-	case KindAppend:
-		return n.onAppend(m)
-	case KindSnapshot:
-		n.onSnapshot(m)
-	case KindAppended:
-		n.onAppended(m)
-	case KindProbe, KindVote:
-		n.onVote(m)
-	case KindProbed, KindVoted:
-		n.onVoted(m)
-	case KindTakeover:
-		if n.phase == following && n.log.config().Counts(n.ID, n.Life) {
-			n.stand(true)
-		}
-	}
-	return nil
-}
-
-// sameCluster says whether a message belongs to this instance's group. An
-// instance without a log joins the group of the leader that finds it; it has
-// acknowledged nothing yet, and its term and vote stay as they are.
-func (n *Node) sameCluster(m Message) bool {
-	fromLeader := m.Kind == KindAppend || m.Kind == KindSnapshot
-	if n.blank() && fromLeader && m.Cluster != n.hard.Cluster {
-		n.hard.Cluster = m.Cluster
-		n.hardChanged = true
-	}
-	return m.Cluster == n.hard.Cluster && m.Cluster != 0
-}
-
-// adopt takes over a higher term; false when the message is to be dropped.
-func (n *Node) adopt(m Message) bool {
-	switch m.Kind {
-	case KindProbe:
-		return true
-	case KindProbed:
-		if !m.Reject {
-			return true
-		}
-	case KindVote:
-		if !m.Forced && n.leaderAlive() {
-			return false
-		}
-	}
-	leader := uint64(0)
-	if m.Kind == KindAppend || m.Kind == KindSnapshot {
-		leader = m.From
-	}
-	n.follow(m.Term, leader)
-	return true
-}
-
-// answerStale tells the sender of an older term about the current one.
-func (n *Node) answerStale(m Message) {
-	switch m.Kind {
-	case KindAppend, KindSnapshot:
-		n.send(Message{Kind: KindAppended, To: m.From, Reject: true, Index: m.Index, Echo: m.Tick})
-	case KindProbe:
-		n.send(Message{Kind: KindProbed, To: m.From, Reject: true})
-	}
-}
-
 // follow becomes a follower in a term.
 func (n *Node) follow(term, leader uint64) {
 	if term != n.hard.Term {
--- a/internal/crwire/status.go
+++ b/internal/crwire/status.go
@@ -12,18 +12,31 @@
 	Address string `json:"address"`
 	// Leading says that this instance is the leader.
 	Leading bool `json:"leading"`
+	// Voting says that it votes with the disk that it has; false until a lost
+	// disk is repaired.
+	Voting bool `json:"voting"`
 	// Fresh says that it has lately had contact with a quorum.
 	Fresh bool `json:"fresh"`
 	// Commit is the index of its last committed entry.
 	Commit uint64 `json:"commit"`
 	// Voters maps each voting instance to its host:port.
 	Voters map[uint64]string `json:"voters"`
+	// Members are all instances by ID.
+	Members map[uint64]InstanceState `json:"members"`
 	// Revision is the revision in force here.
 	Revision uint64 `json:"rev"`
 	// Followers are the daemons that poll the feed here.
 	Followers []Follower `json:"followers"`
 }
 
+// InstanceState is a control instance as the replicated log lists it.
+type InstanceState struct {
+	// Address is its host:port.
+	Address string `json:"address"`
+	// Role is voter, joining or learner.
+	Role string `json:"role"`
+}
+
 // Follower is a daemon that polls the feed.
 type Follower struct {
 	// Name is the daemon's name.
