Reset callers that wait on a killed agent

Cause: after an agent's crash and restart its callers learnt of it by their idle time-out. A caller that waits for an answer sends only pings of about 38 bytes, and QUIC answers datagrams up to 42 bytes with no stateless reset, lest two endpoints reset each other for ever. Ruled out: the lease (3 s; the agent was back in milliseconds), the balancers (the pings reached the agent).

Weighed: shorter idle time-outs and more keep-alives (cost for each of 110 million flows), sending the reset ourselves (its token is quic-go's own), or lengthening such a datagram to 43 bytes. It can't be read anyway: its connection ID names another life of an agent, by the nonces that this life has given. RFC 9000, 10.3.3 asks for a bound against loops: 10,000 a second.

--- a/internal/cragent/datagram.go
+++ b/internal/cragent/datagram.go
@@ -52,7 +52,10 @@
 	flows  *crflow.Flows
 	plan   atomic.Pointer[crroute.Plan]
 
-	// sealer, env, buf and noticed are the receiving goroutine's.
+	generator *generator
+
+	// resets, sealer, env, buf and noticed are the receiving goroutine's.
+	resets  resets
 	sealer  *crroute.Sealer
 	env     crwire.Envelope
 	buf     []byte
@@ -79,6 +82,8 @@
 func (d *datagrams) open(addr string, keys *crroute.Keyring) error {
 	d.sealer = crroute.NewSealer(keys)
 	d.noticed = map[netip.AddrPort]time.Time{}
+	d.generator = newGenerator(d.num, d.service, keys)
+	d.resets = resets{issued: d.generator.issued, sealer: crroute.NewSealer(keys)}
 	d.out = sender{sealer: crroute.NewSealer(keys)}
 	d.plan.Store(&crroute.Plan{})
 	table := &crflow.Table{Live: flowsLive, Probation: flowsOpening, LiveIdle: liveIdle, OpenIdle: openIdle}
@@ -206,11 +211,12 @@
 	if reason != crroute.ReasonNone {
 		return reason
 	}
-	action := d.flows.Decide(&d.env, crroute.OpeningKey(head.Dest), head.Long && head.First, time.Now())
+	now := time.Now()
+	action := d.flows.Decide(&d.env, crroute.OpeningKey(head.Dest), head.Long && head.First, now)
 	d.counters.decided(action)
 	switch action {
 	case crflow.ActionHandle, crflow.ActionAccept:
-		if !d.conn.deliver(d.env.Payload, d.env.Caller) {
+		if !d.conn.deliver(d.resets.lengthen(d.env.Payload, &head, now), d.env.Caller) {
 			return crroute.ReasonQueue
 		}
 		return crroute.ReasonNone
--- a/internal/cragent/quic.go
+++ b/internal/cragent/quic.go
@@ -45,7 +45,25 @@
 
 	mu     sync.Mutex
 	sealer *crroute.Sealer
-	nonce  uint64
+	// start is the nonce before the first, nonce the last one given.
+	start, nonce uint64
+}
+
+// newGenerator returns a generator whose nonces begin at random.
+func newGenerator(num func() uint32, service string, keys *crroute.Keyring) *generator {
+	start := crroute.NextNonce(mathrand.Uint64())
+	return &generator{
+		num: num, tag: crroute.Tag(service), sealer: crroute.NewSealer(keys), start: start, nonce: start,
+	}
+}
+
+// issued reports whether this generator has given an ID.
+func (g *generator) issued(id crroute.ID) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	given := crroute.NonceDistance(g.start, g.nonce)
+	place := crroute.NonceDistance(g.start, id.Nonce)
+	return id.Agent == g.num() && id.Tag == g.tag && place > 0 && place <= given
 }
 
 // GenerateConnectionID returns the next connection ID.
@@ -88,13 +106,10 @@
 	}
 	resetKey, tokenKey := quic.StatelessResetKey(reset), quic.TokenGeneratorKey(token)
 	s.transport = &quic.Transport{
-		Conn: d.conn,
-		ConnectionIDGenerator: &generator{
-			num: d.num, tag: crroute.Tag(d.service),
-			sealer: crroute.NewSealer(keys), nonce: mathrand.Uint64(),
-		},
-		StatelessResetKey: &resetKey,
-		TokenGeneratorKey: &tokenKey,
+		Conn:                  d.conn,
+		ConnectionIDGenerator: d.generator,
+		StatelessResetKey:     &resetKey,
+		TokenGeneratorKey:     &tokenKey,
 		VerifySourceAddress: func(net.Addr) bool {
 			_, opening := d.flows.Len()
 			return float64(opening) > retryShare*flowsOpening
--- /dev/null
+++ b/internal/cragent/reset.go
@@ -0,0 +1,54 @@
+package cragent
+
+import (
+	"time"
+
+	"cardamomring.dev/internal/crroute"
+)
+
+const (
+	// resetTrigger is the length that a datagram of an unknown connection
+	// needs for QUIC to answer it with a stateless reset, in bytes.
+	resetTrigger = 43
+	// resetsMax is how many datagrams are lengthened in a second.
+	resetsMax = 10_000
+)
+
+// resets lengthens short datagrams of connections that ended with a former
+// life of an agent. QUIC answers datagrams below resetTrigger with nothing,
+// lest two endpoints reset each other for ever; but a caller that waits sends
+// only such ones and would learn of the loss by its idle time-out. The bound
+// for each second keeps a loop of resets from growing. It is for one
+// goroutine.
+type resets struct {
+	// issued reports whether a connection ID is of this life of the agent.
+	issued func(id crroute.ID) bool
+
+	sealer *crroute.Sealer
+	buf    [resetTrigger]byte
+	since  time.Time
+	count  int
+}
+
+// lengthen returns the datagram, longer if it is to be answered by a reset.
+func (r *resets) lengthen(payload []byte, head *crroute.Packet, now time.Time) []byte {
+	if head.Long || len(payload) >= resetTrigger {
+		return payload
+	}
+	id, ok := r.sealer.OpenID(head.Dest)
+	if !ok || r.issued(id) || !r.allow(now) {
+		return payload
+	}
+	n := copy(r.buf[:], payload)
+	clear(r.buf[n:])
+	return r.buf[:]
+}
+
+// allow counts against resetsMax.
+func (r *resets) allow(now time.Time) bool {
+	if now.Sub(r.since) >= time.Second {
+		r.since, r.count = now, 0
+	}
+	r.count++
+	return r.count <= resetsMax
+}
--- a/internal/crroute/connid.go
+++ b/internal/crroute/connid.go
@@ -78,3 +78,6 @@
 
 // NextNonce returns the nonce after n.
 func NextNonce(n uint64) uint64 { return (n + 1) & (1<<nonceBits - 1) }
+
+// NonceDistance returns how many nonces lie from one to another.
+func NonceDistance(from, to uint64) uint64 { return (to - from) & (1<<nonceBits - 1) }
