--- a/cmd/cardamomring/demo_load.go
+++ b/cmd/cardamomring/demo_load.go
@@ -12,6 +12,7 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
+	"cardamomring.dev/internal/crnet"
 	"cardamomring.dev/pkg/crcall"
 )
 
@@ -106,14 +107,14 @@
 	defer func() { _ = c.client.Close() }()
 	class := &demoClasses[c.class]
 	if class.burst {
-		wait(ctx, c.demo.part(burstBegins)-time.Since(c.demo.begun))
+		crnet.Pause(ctx, c.demo.part(burstBegins)-time.Since(c.demo.begun))
 	}
 	for i := 0; ctx.Err() == nil; i++ {
 		if class.burst && time.Since(c.demo.begun) > c.demo.part(burstEnds) {
 			return
 		}
 		c.send(i)
-		wait(ctx, class.pause)
+		crnet.Pause(ctx, class.pause)
 	}
 }
 
@@ -148,13 +149,3 @@
 		t.done = append(t.done, key)
 	}
 }
-
-// wait waits for d or until ctx ends.
-func wait(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/cragent/agent.go
+++ b/internal/cragent/agent.go
@@ -121,7 +121,7 @@
 func (a *Agent) drain(server *crnet.Server) error {
 	a.setState(crwire.MemberDraining)
 	a.announce(context.Background())
-	pause(context.Background(), leaveWait)
+	crnet.Pause(context.Background(), leaveWait)
 	flowErr := a.drainFlows()
 	ctx, cancel := context.WithTimeout(context.Background(), stopGrace)
 	defer cancel()
@@ -188,16 +188,6 @@
 	}
 }
 
-// pause waits for d or until ctx ends.
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // keepNum keeps the number that control gave; 0 means that membership is
 // frozen, and the agent keeps what it has.
 func (a *Agent) keepNum(num uint32) {
--- a/internal/cragent/claim.go
+++ b/internal/cragent/claim.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"time"
 
+	"cardamomring.dev/internal/crnet"
 	"cardamomring.dev/internal/crrun"
 	"cardamomring.dev/internal/crwire"
 	"cardamomring.dev/pkg/crdoc"
@@ -91,7 +92,7 @@
 		default:
 			return claimed
 		}
-		pause(ctx, wait)
+		crnet.Pause(ctx, wait)
 	}
 	return claimed
 }
@@ -142,7 +143,7 @@
 		Record: crwire.Record{Outcome: crwire.OutcomeNotrun},
 	}
 	a.runSettle(s)
-	pause(context.Background(), claimTimeout)
+	crnet.Pause(context.Background(), claimTimeout)
 	a.runSettle(s)
 }
 
@@ -151,7 +152,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), settleTime)
 	defer cancel()
 	for ctx.Err() == nil && !a.askSettle(ctx, s) {
-		pause(ctx, settleWait)
+		crnet.Pause(ctx, settleWait)
 	}
 }
 
--- a/internal/crfeed/follower.go
+++ b/internal/crfeed/follower.go
@@ -89,7 +89,7 @@
 		if failures == len(f.Sources) {
 			f.Cut(err)
 		}
-		pause(ctx, Backoff(failures, len(f.Sources), f.Random()))
+		crnet.Pause(ctx, Backoff(failures, len(f.Sources), f.Random()))
 	}
 }
 
@@ -161,7 +161,7 @@
 	if err != nil && ctx.Err() == nil {
 		f.Failed(source, err)
 	}
-	pause(ctx, pullPause)
+	crnet.Pause(ctx, pullPause)
 }
 
 // poll asks a control instance once.
@@ -227,13 +227,3 @@
 	}
 	s.Reset(v)
 }
-
-// pause waits for d or until ctx ends.
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- /dev/null
+++ b/internal/crnet/pause.go
@@ -0,0 +1,16 @@
+package crnet
+
+import (
+	"context"
+	"time"
+)
+
+// Pause waits for d or until ctx ends.
+func Pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- a/internal/crwire/envelope.go
+++ b/internal/crwire/envelope.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/binary"
 	"errors"
-	"math"
 	"net/netip"
 
 	"google.golang.org/protobuf/encoding/protowire"
@@ -151,130 +150,6 @@
 	return binary.BigEndian.AppendUint16(dst, addr.Port())
 }
 
-// OpenEnvelope reads an envelope into e, whose Service and Payload then point
-// into b. verify reports whether mac is the authenticator of a header.
-func OpenEnvelope(b []byte, e *Envelope, verify func(header, mac []byte) bool) error {
-	if len(b) > 0 && b[0] != envelopeVersion {
-		return ErrEnvelopeVersion
-	}
-	if len(b) < envelopeFixed {
-		return ErrEnvelopeShort
-	}
-	n := int(binary.BigEndian.Uint16(b[envelopeFixed-2:]))
-	if len(b) < envelopeFixed+n {
-		return ErrEnvelopeShort
-	}
-	header := b[envelopeFixed : envelopeFixed+n]
-	if !verify(header, b[1:1+EnvelopeMACLen]) {
-		return ErrEnvelopeForged
-	}
-	*e = Envelope{Payload: b[envelopeFixed+n:]}
-	if !e.readHeader(header) || !e.valid() {
-		return ErrEnvelopeHeader
-	}
-	return nil
-}
-
-// readHeader reads the header's fields; each but the chain may stand once
-// and in order, and none that is unknown.
-func (e *Envelope) readHeader(b []byte) bool {
-	last := protowire.Number(0)
-	for len(b) > 0 {
-		field, kind, n := protowire.ConsumeTag(b)
-		if n < 0 || field < last || field == last && field != fieldChain {
-			return false
-		}
-		last = field
-		b = b[n:]
-		switch kind {
-		case protowire.VarintType:
-			v, n := protowire.ConsumeVarint(b)
-			if n < 0 || !e.setUint(field, v) {
-				return false
-			}
-			b = b[n:]
-		case protowire.BytesType:
-			v, n := protowire.ConsumeBytes(b)
-			if n < 0 || !e.setBytes(field, v) {
-				return false
-			}
-			b = b[n:]
-		default:
-			return false
-		}
-	}
-	return true
-}
-
-// setUint sets a field that is a number.
-func (e *Envelope) setUint(field protowire.Number, v uint64) bool {
-	if field != fieldRevision && v > math.MaxUint32 {
-		return false
-	}
-	switch field {
-	case fieldKind:
-		e.Kind = EnvelopeKind(v)
-	case fieldRevision:
-		e.Revision = v
-	case fieldSender:
-		e.Sender = uint32(v)
-	case fieldOwned:
-		e.Owned = protowire.DecodeBool(v)
-	case fieldChain:
-		if e.Len == ChainMax {
-			return false
-		}
-		e.Chain[e.Len] = uint32(v)
-		e.Len++
-	case fieldAccept:
-		e.Accept = int(v)
-	case fieldPosition:
-		e.Position = int(v)
-	default:
-		return false
-	}
-	return true
-}
-
-// setBytes sets a field that is a string of bytes.
-func (e *Envelope) setBytes(field protowire.Number, v []byte) bool {
-	var ok bool
-	switch field {
-	case fieldService:
-		e.Service, ok = v, len(v) > 0 && len(v) <= serviceMax
-	case fieldCaller:
-		e.Caller, ok = readAddr(v)
-	case fieldReturn:
-		e.Return, ok = readAddr(v)
-	}
-	return ok
-}
-
-// readAddr reads an address; an IPv4 one has 4 bytes.
-func readAddr(v []byte) (netip.AddrPort, bool) {
-	n := len(v) - 2
-	if n != 4 && n != 16 {
-		return netip.AddrPort{}, false
-	}
-	ip, _ := netip.AddrFromSlice(v[:n])
-	if ip.Is4In6() {
-		return netip.AddrPort{}, false
-	}
-	return netip.AddrPortFrom(ip, binary.BigEndian.Uint16(v[n:])), true
-}
-
-// valid reports whether the fields agree with one another.
-func (e *Envelope) valid() bool {
-	switch e.Kind {
-	case EnvelopeForward:
-		return len(e.Service) > 0 && e.Caller.IsValid() && e.Return.IsValid() && e.Position < e.Len && e.Accept <= e.Len
-	case EnvelopeAnswer:
-		return len(e.Service) > 0 && e.Caller.IsValid() && e.Len == 0
-	default:
-		return e.Kind == EnvelopeNotice
-	}
-}
-
 // Pass moves an agent to the place after the receiver's, adding it to the
 // chain if it isn't named there, and makes it the receiver. The places up to
 // Position are then exactly the agents that have been asked. It reports
--- a/pkg/croper/client.go
+++ b/pkg/croper/client.go
@@ -12,6 +12,8 @@
 	"net/http"
 	"slices"
 	"time"
+
+	"cardamomring.dev/internal/crnet"
 )
 
 const (
@@ -121,20 +123,10 @@
 			i = -1
 		}
 		if (i+1)%len(order) == 0 {
-			pause(ctx, retryWait)
+			crnet.Pause(ctx, retryWait)
 		}
 		if ctx.Err() != nil {
 			return errors.Join(ErrUnreachable, last)
 		}
 	}
 }
-
-// pause waits for d or until ctx ends.
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
