--- a/internal/crtrial/deployment.go
+++ b/internal/crtrial/deployment.go
@@ -22,6 +22,9 @@
 const (
 	// loopback takes a free port.
 	loopback = "127.0.0.1:0"
+	// reserved takes a free port on an address that no client connects
+	// from, so that a control instance finds its port free when it restarts.
+	reserved = "127.0.0.2:0"
 	// certName is the certificate that agents show to callers.
 	certName = "service"
 	// secretName is the file of the shared key.
@@ -122,7 +125,7 @@
 // reserve draws a free port for each control instance.
 func (d *Deployment) reserve() error {
 	for range max(d.Instances, 1) {
-		l, err := net.Listen("tcp", loopback)
+		l, err := net.Listen("tcp", reserved)
 		if err != nil {
 			return fmt.Errorf("reserve a port: %w", err)
 		}
