Scripts: signal each background command once

Cause: 'term backend' sent SIGTERM twice to a command with that word twice among its arguments (verb and name). Ruled out: the stop itself (its last line was printed). term and signal share one function now.

--- a/cmd/cardamomring/script_http_test.go
+++ b/cmd/cardamomring/script_http_test.go
@@ -234,19 +234,7 @@
 	if neg || len(args) != 1 {
 		ts.Fatalf("usage: term WORD")
 	}
-	found := false
-	for _, cmd := range ts.BackgroundCmds() {
-		for _, word := range cmd.Args {
-			if word != args[0] {
-				continue
-			}
-			found = true
-			ts.Check(cmd.Process.Signal(syscall.SIGTERM))
-		}
-	}
-	if !found {
-		ts.Fatalf("no background command has the argument %s", args[0])
-	}
+	signalAll(ts, syscall.SIGTERM, args[0])
 }
 
 // sum adds up the first group of a pattern over files.
--- a/cmd/cardamomring/script_signal_test.go
+++ b/cmd/cardamomring/script_signal_test.go
@@ -35,23 +35,29 @@
 	if neg || len(args) != 2 {
 		ts.Fatalf("usage: signal KILL|STOP|CONT WORD")
 	}
+	signalAll(ts, signals[args[0]], args[1])
+}
+
+// signalAll sends a signal once to each background command that has an
+// argument and still runs.
+func signalAll(ts *testscript.TestScript, sig syscall.Signal, word string) {
 	found := false
 	for _, cmd := range ts.BackgroundCmds() {
-		if !slices.Contains(cmd.Args, args[1]) {
+		if !slices.Contains(cmd.Args, word) {
 			continue
 		}
-		err := cmd.Process.Signal(signals[args[0]])
+		err := cmd.Process.Signal(sig)
 		if errors.Is(err, os.ErrProcessDone) {
 			continue
 		}
 		ts.Check(err)
 		found = true
-		if args[0] == "STOP" {
+		if sig == syscall.SIGSTOP {
 			ts.Defer(func() { _ = cmd.Process.Signal(syscall.SIGCONT) })
 		}
 	}
 	if !found {
-		ts.Fatalf("no background command has the argument %s", args[1])
+		ts.Fatalf("no background command that runs has the argument %s", word)
 	}
 }
 
