--- a/cmd/cardamomring/apply.go
+++ b/cmd/cardamomring/apply.go
@@ -34,21 +34,10 @@
 
 // runApply applies documents in the order of their files.
 func runApply(ctx context.Context, a *applyArgs, out, errOut io.Writer) int {
-	docs, findings, err := readDocuments(a.File)
-	if err == nil {
-		err = findings.Err()
-	}
-	if err != nil {
-		fmt.Fprintln(errOut, err)
-		return exitFailed
-	}
-	return runOperator(ctx, &a.operatorArgs, out, errOut, func(ctx context.Context, o *operator) int {
-		view, err := o.client.View(ctx)
-		if err != nil {
-			return o.fail(err)
-		}
+	do := func(ctx context.Context, o *operator, docs []document, view *croper.View) int {
 		return o.report(o.applyAll(ctx, docs, view, a.Write))
-	})
+	}
+	return runDocuments(ctx, &a.operatorArgs, a.File, out, errOut, do)
 }
 
 // applyAll applies each document; one that is refused doesn't stop the rest.
--- a/cmd/cardamomring/diff.go
+++ b/cmd/cardamomring/diff.go
@@ -9,6 +9,7 @@
 	"slices"
 
 	"cardamomring.dev/pkg/crdoc"
+	"cardamomring.dev/pkg/croper"
 )
 
 // diffArgs are the arguments of diff.
@@ -32,19 +33,7 @@
 
 // runDiff shows what apply would change.
 func runDiff(ctx context.Context, a *diffArgs, out, errOut io.Writer) int {
-	docs, findings, err := readDocuments(a.File)
-	if err == nil {
-		err = findings.Err()
-	}
-	if err != nil {
-		fmt.Fprintln(errOut, err)
-		return exitFailed
-	}
-	return runOperator(ctx, &a.operatorArgs, out, errOut, func(ctx context.Context, o *operator) int {
-		view, err := o.client.View(ctx)
-		if err != nil {
-			return o.fail(err)
-		}
+	do := func(_ context.Context, o *operator, docs []document, view *croper.View) int {
 		all := make([]difference, len(docs))
 		for i, d := range docs {
 			all[i] = compare(d, view.Services[d.doc.Name])
@@ -56,7 +45,8 @@
 			o.print(d)
 		}
 		return exitOK
-	})
+	}
+	return runDocuments(ctx, &a.operatorArgs, a.File, out, errOut, do)
 }
 
 // compare compares a document with the one in force.
--- a/cmd/cardamomring/operator.go
+++ b/cmd/cardamomring/operator.go
@@ -135,3 +135,26 @@
 	}
 	return docs, c.findings, nil
 }
+
+// runDocuments reads service documents and hands them to do with the view in
+// force. Nothing is done when one of them has findings.
+func runDocuments(
+	ctx context.Context, a *operatorArgs, files []string, out, errOut io.Writer,
+	do func(ctx context.Context, o *operator, docs []document, view *croper.View) int,
+) int {
+	docs, findings, err := readDocuments(files)
+	if err == nil {
+		err = findings.Err()
+	}
+	if err != nil {
+		fmt.Fprintln(errOut, err)
+		return exitFailed
+	}
+	return runOperator(ctx, a, out, errOut, func(ctx context.Context, o *operator) int {
+		view, err := o.client.View(ctx)
+		if err != nil {
+			return o.fail(err)
+		}
+		return do(ctx, o, docs, view)
+	})
+}
