Scenarios change the configuration through the operators' client

internal/crtrial had its own loop over control instances with its own reading of refusals, beside croper.Client, which also sends a change again under one ID after a lost answer. The assertion on ten rivals is as it was.

--- a/internal/crtrial/evening_test.go
+++ b/internal/crtrial/evening_test.go
@@ -17,6 +17,7 @@
 	"cardamomring.dev/internal/crtrial"
 	"cardamomring.dev/internal/crwire"
 	"cardamomring.dev/pkg/crdoc"
+	"cardamomring.dev/pkg/croper"
 )
 
 // phase is how long each part of an evening lasts.
@@ -171,8 +172,12 @@
 		group.Go(func() {
 			rival := *doc
 			rival.Limit.Max = doc.Limit.Max + i + 1
-			result, err := e.d.Change(context.Background(), crwire.Change{Kind: crwire.KindApply, Service: &rival})
-			codes[i], errs[i] = result.Code, err
+			result, err := e.d.Rival(context.Background(), &rival)
+			var lost *croper.ConflictError
+			if !errors.As(err, &lost) {
+				errs[i] = err
+			}
+			codes[i] = result.Code
 		})
 	}
 	group.Wait()
