--- /dev/null
+++ b/cmd/crnode/main.go
@@ -0,0 +1,48 @@
+// Command crnode runs one role of cardamomring on the machines of a platform
+// that writes a settings file for each process: a balancer, a control instance
+// or an agent that carries opaque flows.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alexflint/go-arg"
+
+	"cardamomring.dev/platform"
+)
+
+// args are the command line.
+type args struct {
+	Role string `arg:"positional,required" help:"balancer, control or agent"`
+}
+
+// Description says what the command does.
+func (args) Description() string {
+	return "Runs one role; " + platform.Variable + " names its settings file."
+}
+
+func main() {
+	var a args
+	arg.MustParse(&a)
+	settings, err := platform.Load()
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(2)
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	p, err := newProcess(a.Role, settings)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(2)
+	}
+	if err := p.run(ctx); err != nil {
+		p.logger.WithError(err).Error("stopped by a failure")
+		os.Exit(1)
+	}
+	p.logger.Info("stopped")
+}
--- a/internal/crcontrol/change.go
+++ b/internal/crcontrol/change.go
@@ -92,6 +92,12 @@
 		if len(zones) > 0 && !slices.Contains(zones, change.Zone) {
 			f.Add("zone", "availability zone %q is not listed", change.Zone)
 		}
+	case crwire.KindCatalog:
+		if change.Catalog == nil {
+			f.Add("catalog", "is missing")
+			return f
+		}
+		return change.Catalog.Check()
 	case crwire.KindInstance:
 		return checkInstance(change.Instance)
 	default:
--- a/internal/crcontrol/control.go
+++ b/internal/crcontrol/control.go
@@ -44,6 +44,15 @@
 	Registry *prometheus.Registry
 	// Logf writes a log line for a change of state.
 	Logf func(format string, args ...any)
+	// Peers are the host:port of instances that may know the group, for an
+	// instance that asks to be admitted.
+	Peers func() []string
+	// Bear is how many disks may be lost at once; it bounds which silent
+	// instances are dropped from the group.
+	Bear int
+	// Tick and Election time the replicated log; 0 takes its defaults.
+	Tick     time.Duration
+	Election uint64
 
 	replica *crreplica.Replica
 	client  *crnet.Client
@@ -124,7 +133,7 @@
 	c.replica = &crreplica.Replica{
 		Settings: c.Settings.Replica, Client: c.client,
 		Apply: c.apply, Snapshot: c.snapshot, Restore: c.restore, Changed: c.changed,
-		Registry: c.Registry, Logf: c.Logf,
+		Registry: c.Registry, Logf: c.Logf, Tick: c.Tick, Election: c.Election,
 	}
 	return nil
 }
@@ -136,6 +145,9 @@
 	c.loops.Go(func() { c.announces.loop(c.life) })
 	c.loops.Go(func() { c.claims.loop(c.life) })
 	c.loops.Go(func() { c.settles.loop(c.life) })
+	if c.Settings.Replica.Address != "" {
+		c.loops.Go(c.admission)
+	}
 }
 
 // run takes part in the replicated log.
@@ -153,6 +165,9 @@
 		select {
 		case <-tick.C:
 			c.expire()
+			if c.Settings.Replica.Address != "" {
+				c.dropSilent()
+			}
 		case <-c.life.Done():
 			return
 		}
@@ -178,6 +193,8 @@
 		"POST " + pathAnnounces: c.serveAnnounces,
 		"POST " + pathClaims:    c.serveClaims,
 		"POST " + pathSettles:   c.serveSettles,
+		"POST " + PathAdmit:     c.serveAdmit,
+		"POST " + PathCatalog:   c.serveCatalog,
 		"/quorum/":              c.replica.Routes().ServeHTTP,
 	} {
 		mux.HandleFunc(path, c.forProcesses(serve))
--- a/internal/crcontrol/metrics.go
+++ b/internal/crcontrol/metrics.go
@@ -16,6 +16,8 @@
 	expired   prometheus.Counter
 	denied    prometheus.Counter
 	skipped   prometheus.Counter
+	// unadmitted counts failed requests to be admitted.
+	unadmitted prometheus.Counter
 	agents    prometheus.Gauge
 	leading   prometheus.Gauge
 	fresh     prometheus.Gauge
@@ -33,12 +35,13 @@
 		expired:   counter("leases_expired_total", "Agents that did not renew their lease."),
 		denied:    counter("denied_total", "Calls refused for their credentials."),
 		skipped:   counter("entries_skipped_total", "Entries of the log that could not be read."),
+		unadmitted: counter("admissions_failed_total", "Requests to be admitted that failed."),
 		agents:    gauge("agents", "Agents that hold a lease."),
 		leading:   gauge("leading", "1 while this instance leads."),
 		fresh:     gauge("fresh", "1 while this instance has contact with the quorum."),
 		term:      gauge("term", "The current term."),
 	}
-	r.MustRegister(m.changes, m.claims, m.feeds, m.feedBytes, m.renewals, m.expired, m.denied, m.skipped,
+	r.MustRegister(m.changes, m.claims, m.feeds, m.feedBytes, m.renewals, m.expired, m.denied, m.skipped, m.unadmitted,
 		m.agents, m.leading, m.fresh, m.term)
 	return m
 }
--- /dev/null
+++ b/internal/crcontrol/read.go
@@ -0,0 +1,110 @@
+package crcontrol
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+
+	"cardamomring.dev/internal/crnet"
+	"cardamomring.dev/internal/crreplica"
+	"cardamomring.dev/internal/crstate"
+	"cardamomring.dev/internal/crwire"
+)
+
+const (
+	// PathChange takes a change of an operator.
+	PathChange = "/change"
+	// PathCatalog answers with the catalog in force.
+	PathCatalog = "/catalog"
+	// headerFinal marks a call that isn't passed on again.
+	headerFinal = "Cr-Forwarded"
+)
+
+// Submit carries out a change here or at the leader. A change that is passed
+// on more than once is refused, so that it can't loop.
+func (c *Control) Submit(ctx context.Context, change *crwire.Change) crwire.Result {
+	status := c.awaitLeader(ctx)
+	if status.Leading {
+		return c.change(ctx, change)
+	}
+	if status.Address == "" {
+		return unavailable(&crreplica.NotLeaderError{}, "")
+	}
+	ctx, cancel := context.WithTimeout(ctx, forwardTimeout)
+	defer cancel()
+	return Submit(ctx, c.client, status.Address, change)
+}
+
+// Submit sends a change to a control instance.
+func Submit(ctx context.Context, client *crnet.Client, addr string, change *crwire.Change) crwire.Result {
+	var result crwire.Result
+	body, err := json.Marshal(change)
+	if err == nil {
+		err = post(ctx, client, addr, PathChange, change.Author, body, &result)
+	}
+	if err != nil {
+		return unavailable(err, addr)
+	}
+	return result
+}
+
+// post sends a body to the leader and decodes its answer, whatever its status.
+func post(ctx context.Context, client *crnet.Client, addr, path, author string, body []byte, out any) error {
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, client.URL(addr, path), bytes.NewReader(body))
+	if err != nil {
+		return fmt.Errorf("request to %s: %w", addr, err)
+	}
+	r.Header.Set("Content-Type", "application/json")
+	r.Header.Set(headerFinal, "1")
+	r.Header.Set(headerOperator, author)
+	resp, err := client.Do(r)
+	if err != nil {
+		return fmt.Errorf("call %s%s: %w", addr, path, err)
+	}
+	defer resp.Body.Close()
+	if err := json.NewDecoder(resp.Body).Decode(out); err != nil {
+		return fmt.Errorf("answer of %s%s: %w", addr, path, err)
+	}
+	return nil
+}
+
+// Catalog returns the catalog in force as its operator wrote it. It is read
+// behind a committed entry, so no clock takes part in the proof that it is the
+// newest one.
+func (c *Control) Catalog(ctx context.Context) (crwire.Held, error) {
+	status := c.awaitLeader(ctx)
+	if !status.Leading {
+		if status.Address == "" {
+			return crwire.Held{}, &crreplica.NotLeaderError{}
+		}
+		ctx, cancel := context.WithTimeout(ctx, forwardTimeout)
+		defer cancel()
+		return Catalog(ctx, c.client, status.Address)
+	}
+	if _, err := c.commit(ctx, crstate.Entry{Kind: crwire.KindRead}); err != nil {
+		return crwire.Held{}, err
+	}
+	var held crwire.Held
+	err := c.replica.Do(func() { held = c.state.Held() })
+	return held, err
+}
+
+// Catalog asks a control instance for the catalog in force.
+func Catalog(ctx context.Context, client *crnet.Client, addr string) (crwire.Held, error) {
+	var held crwire.Held
+	err := client.JSON(ctx, addr, PathCatalog, struct{}{}, &held)
+	return held, err
+}
+
+// serveCatalog answers with the catalog when this instance leads.
+func (c *Control) serveCatalog(w http.ResponseWriter, r *http.Request) {
+	if status := c.replica.Status(); !status.Leading {
+		c.answer(w, nil, errors.Join(&crreplica.NotLeaderError{Leader: status.Address}))
+		return
+	}
+	held, err := c.Catalog(r.Context())
+	c.answer(w, held, err)
+}
--- a/internal/crfeed/apply.go
+++ b/internal/crfeed/apply.go
@@ -18,7 +18,10 @@
 	if d.From != v.Revision {
 		return nil, fmt.Errorf("delta starts at revision %d, the view is at %d", d.From, v.Revision)
 	}
-	next := &crwire.View{Revision: d.To, Services: v.Services, Out: v.Out, Members: v.Members}
+	next := &crwire.View{Revision: d.To, Services: v.Services, Out: v.Out, Members: v.Members, Catalog: v.Catalog}
+	if d.Catalog != nil {
+		next.Catalog = d.Catalog
+	}
 	if len(d.Services) > 0 {
 		next.Services = maps.Clone(v.Services)
 		for _, s := range d.Services {
--- a/internal/crfeed/follower.go
+++ b/internal/crfeed/follower.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/url"
+	"slices"
 	"sync"
 	"time"
 
@@ -34,8 +35,19 @@
 	Name string
 	// Client calls the sources.
 	Client *crnet.Client
-	// Sources are the host:port of control instances.
+	// Sources are the host:port of control instances. Those that an answer
+	// names are asked as well.
 	Sources []string
+	// Wait is how long a poll stays open at the sender, and Margin how long it
+	// may take beyond that before its connection is given up; 0 takes the
+	// defaults.
+	Wait, Margin time.Duration
+	// Longest bounds the pause after failed polls; 0 takes the default.
+	Longest time.Duration
+	// Early lets a follower without a view begin with a stale one: a daemon
+	// that starts while control has no quorum serves by the last state that
+	// an instance has on disk.
+	Early bool
 	// Took is called with each later view, one call at a time.
 	Took func(v *crwire.View)
 	// Failed is called when a poll fails; nil ignores it.
@@ -55,6 +67,8 @@
 	view  *crwire.View
 	// proven is when a control instance last answered that it is fresh.
 	proven time.Time
+	// control lists the instances that the last answer named.
+	control []string
 }
 
 // hint names a peer that is ahead.
@@ -69,12 +83,13 @@
 	var loops sync.WaitGroup
 	defer loops.Wait()
 	loops.Go(func() { f.loop(ctx) })
-	next := int(f.Random() * float64(len(f.Sources)))
+	next := int(f.Random() * float64(len(f.Known())))
 	for failures := 0; ctx.Err() == nil; {
-		source := f.Sources[next%len(f.Sources)]
+		sources := f.Known()
+		source := sources[next%len(sources)]
 		err := f.poll(ctx, source)
 		if err == nil {
-			if failures >= len(f.Sources) {
+			if failures >= len(sources) {
 				f.Cut(nil)
 			}
 			failures = 0
@@ -86,10 +101,10 @@
 			return
 		}
 		f.Failed(source, err)
-		if failures == len(f.Sources) {
+		if failures == len(sources) {
 			f.Cut(err)
 		}
-		crnet.Pause(ctx, Backoff(failures, len(f.Sources), f.Random()))
+		crnet.Pause(ctx, min(f.Longest, Backoff(failures, len(sources), f.Random())))
 	}
 }
 
@@ -107,6 +122,27 @@
 	}
 }
 
+// SetSources replaces Sources while the follower runs.
+func (f *Follower) SetSources(sources []string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.Sources = sources
+}
+
+// Known returns the control instances to ask: the ones that the last answer
+// named, then the others of Sources.
+func (f *Follower) Known() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	known := slices.Clone(f.control)
+	for _, s := range f.Sources {
+		if !slices.Contains(known, s) {
+			known = append(known, s)
+		}
+	}
+	return known
+}
+
 // Revision returns the revision in force here, 0 before the first view.
 func (f *Follower) Revision() uint64 {
 	f.setup.Do(f.open)
@@ -123,6 +159,14 @@
 	return f.proven.IsZero() || time.Since(f.proven) > freshFor
 }
 
+// Proven reports whether a control instance has proven within d that the view
+// is in force.
+func (f *Follower) Proven(d time.Duration) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return !f.proven.IsZero() && time.Since(f.proven) <= d
+}
+
 // open makes the follower ready.
 func (f *Follower) open() {
 	f.view = Empty()
@@ -130,6 +174,15 @@
 	if f.Random == nil {
 		f.Random = rand.Float64
 	}
+	if f.Wait == 0 {
+		f.Wait = pollWait
+	}
+	if f.Margin == 0 {
+		f.Margin = pollMargin
+	}
+	if f.Longest == 0 {
+		f.Longest = backoffMax
+	}
 	if f.Failed == nil {
 		f.Failed = func(string, error) {}
 	}
@@ -167,7 +220,7 @@
 // poll asks a control instance once.
 func (f *Follower) poll(ctx context.Context, source string) error {
 	asked := time.Now()
-	feed, err := f.ask(ctx, source, pollWait, pollWait+pollMargin)
+	feed, err := f.ask(ctx, source, f.Wait, f.Wait+f.Margin)
 	if err != nil {
 		return err
 	}
@@ -203,7 +256,10 @@
 func (f *Follower) take(feed *crwire.Feed) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if feed.Stale && f.view.Revision == 0 {
+	if len(feed.Control) > 0 {
+		f.control = feed.Control
+	}
+	if feed.Stale && f.view.Revision == 0 && !f.Early {
 		return nil
 	}
 	v, err := Take(f.view, feed)
--- a/internal/crfeed/merge.go
+++ b/internal/crfeed/merge.go
@@ -16,6 +16,9 @@
 		for _, m := range d.Members {
 			put(&out.Members, members, m.Num, m)
 		}
+		if d.Catalog != nil {
+			out.Catalog = d.Catalog
+		}
 		if d.Zoned {
 			out.Out, out.Zoned = d.Out, true
 		}
--- a/internal/crfeed/source.go
+++ b/internal/crfeed/source.go
@@ -29,6 +29,8 @@
 	// snapshot is the answer to those who are too far behind.
 	snapshot *Answer
 	changed  chan struct{}
+	// control lists the control instances that answers name.
+	control []string
 }
 
 // NewSource returns a source that holds v.
@@ -72,15 +74,31 @@
 	s.set(v)
 }
 
+// SetControl names the control instances that answers tell followers of.
+func (s *Source) SetControl(addrs []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if slices.Equal(addrs, s.control) {
+		return
+	}
+	s.control = addrs
+	s.renew()
+}
+
 // set installs a view; the caller holds mu.
 func (s *Source) set(v *crwire.View) {
 	s.view = v
-	s.answers = map[uint64]*Answer{}
-	s.snapshot = &Answer{Feed: crwire.Feed{Revision: v.Revision, Snapshot: v}}
+	s.renew()
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
 
+// renew forgets the answers made so far; the caller holds mu.
+func (s *Source) renew() {
+	s.answers = map[uint64]*Answer{}
+	s.snapshot = &Answer{Feed: crwire.Feed{Revision: s.view.Revision, Control: s.control, Snapshot: s.view}}
+}
+
 // Answer returns what Poll returns, not encoded. The caller doesn't change it.
 func (s *Source) Answer(ctx context.Context, after uint64, wait time.Duration) *crwire.Feed {
 	return &s.Poll(ctx, after, wait).Feed
@@ -124,7 +142,7 @@
 // the whole view gives way to a snapshot.
 func (s *Source) lead(after uint64) *Answer {
 	if after >= s.view.Revision {
-		return &Answer{Feed: crwire.Feed{Revision: s.view.Revision}}
+		return &Answer{Feed: crwire.Feed{Revision: s.view.Revision, Control: s.control}}
 	}
 	i, ok := slices.BinarySearchFunc(s.history, after, func(d crwire.Delta, rev uint64) int {
 		return cmp.Compare(d.From, rev)
@@ -136,5 +154,7 @@
 	if len(delta.Services)+len(delta.Members) > len(s.view.Services)+len(s.view.Members) {
 		return s.snapshot
 	}
-	return &Answer{Feed: crwire.Feed{Revision: s.view.Revision, Deltas: []crwire.Delta{delta}}}
+	return &Answer{Feed: crwire.Feed{
+		Revision: s.view.Revision, Control: s.control, Deltas: []crwire.Delta{delta},
+	}}
 }
--- /dev/null
+++ b/internal/crlane/codec.go
@@ -0,0 +1,18 @@
+// Package crlane runs the roles that carry opaque flows: sockets, timers, the
+// feed and the announcements around the decisions of cropaque.
+package crlane
+
+import "cardamomring.dev/internal/cropaque"
+
+// Codec reads and writes the headers of the packets that callers and backend
+// servers exchange. The roles know no format of their own.
+type Codec struct {
+	// Decode reads a packet's header; false when the bytes are no packet.
+	Decode func(data []byte) (cropaque.Packet, bool)
+	// Reset returns a packet that tells the caller of a flow that the flow is
+	// lost; seq is what the caller last acknowledged.
+	Reset func(key cropaque.Key, seq uint32) []byte
+	// Plain returns a packet that a backend server gave back in the form that
+	// another one takes.
+	Plain func(data []byte) []byte
+}
--- /dev/null
+++ b/internal/cropaque/frame.go
@@ -0,0 +1,150 @@
+package cropaque
+
+import (
+	"errors"
+	"fmt"
+	"net/netip"
+	"time"
+
+	"google.golang.org/protobuf/encoding/protowire"
+)
+
+// Fields of an encoded frame.
+const (
+	fieldKind protowire.Number = iota + 1
+	fieldCaller
+	fieldService
+	fieldReason
+	fieldFinal
+	fieldBusy
+	fieldQueued
+	fieldSlots
+	fieldPace
+	fieldData
+)
+
+// errFrame says that bytes are no frame.
+var errFrame = errors.New("no frame")
+
+// Append adds the encoded frame to b.
+func (f *Frame) Append(b []byte) []byte {
+	b = appendNumber(b, fieldKind, uint64(f.Kind)+1)
+	b = appendAddr(b, fieldCaller, f.Key.Caller)
+	b = appendAddr(b, fieldService, f.Key.Service)
+	b = appendNumber(b, fieldReason, uint64(f.Reason))
+	if f.Final {
+		b = appendNumber(b, fieldFinal, 1)
+	}
+	b = appendNumber(b, fieldBusy, uint64(f.Load.Busy))
+	b = appendNumber(b, fieldQueued, uint64(f.Load.Queued))
+	b = appendNumber(b, fieldSlots, uint64(f.Load.Slots))
+	b = appendNumber(b, fieldPace, uint64(f.Load.Pace/time.Microsecond))
+	if len(f.Data) > 0 {
+		b = protowire.AppendTag(b, fieldData, protowire.BytesType)
+		b = protowire.AppendBytes(b, f.Data)
+	}
+	return b
+}
+
+// ParseFrame decodes a frame; its Data shares memory with b.
+func ParseFrame(b []byte) (Frame, error) {
+	var f Frame
+	for len(b) > 0 {
+		num, typ, n := protowire.ConsumeTag(b)
+		if n < 0 {
+			return f, errFrame
+		}
+		b = b[n:]
+		switch typ {
+		case protowire.VarintType:
+			v, n := protowire.ConsumeVarint(b)
+			if n < 0 {
+				return f, errFrame
+			}
+			f.setNumber(num, v)
+			b = b[n:]
+		case protowire.BytesType:
+			v, n := protowire.ConsumeBytes(b)
+			if n < 0 {
+				return f, errFrame
+			}
+			if err := f.setBytes(num, v); err != nil {
+				return f, err
+			}
+			b = b[n:]
+		default:
+			return f, errFrame
+		}
+	}
+	if !f.Kind.IsAFrameKind() || !f.Reason.IsAReason() {
+		return f, fmt.Errorf("kind %d, reason %d: %w", int(f.Kind), int(f.Reason), errFrame)
+	}
+	return f, nil
+}
+
+// setNumber sets a numeric field; unknown ones are left out.
+func (f *Frame) setNumber(num protowire.Number, v uint64) {
+	switch num {
+	case fieldKind:
+		f.Kind = FrameKind(v) - 1
+	case fieldReason:
+		f.Reason = Reason(v)
+	case fieldFinal:
+		f.Final = v != 0
+	case fieldBusy:
+		f.Load.Busy = int(v)
+	case fieldQueued:
+		f.Load.Queued = int(v)
+	case fieldSlots:
+		f.Load.Slots = int(v)
+	case fieldPace:
+		f.Load.Pace = time.Duration(v) * time.Microsecond
+	}
+}
+
+// setBytes sets a field of bytes; unknown ones are left out.
+func (f *Frame) setBytes(num protowire.Number, v []byte) error {
+	switch num {
+	case fieldCaller:
+		return setAddr(&f.Key.Caller, v)
+	case fieldService:
+		return setAddr(&f.Key.Service, v)
+	case fieldData:
+		f.Data = v
+	}
+	return nil
+}
+
+// appendNumber adds a number unless it is 0.
+func appendNumber(b []byte, num protowire.Number, v uint64) []byte {
+	if v == 0 {
+		return b
+	}
+	b = protowire.AppendTag(b, num, protowire.VarintType)
+	return protowire.AppendVarint(b, v)
+}
+
+// appendAddr adds an address unless it is absent.
+func appendAddr(b []byte, num protowire.Number, a netip.AddrPort) []byte {
+	if !a.IsValid() {
+		return b
+	}
+	b = protowire.AppendTag(b, num, protowire.BytesType)
+	ip := a.Addr().AsSlice()
+	b = protowire.AppendVarint(b, uint64(len(ip)+2))
+	b = append(b, ip...)
+	return append(b, byte(a.Port()>>8), byte(a.Port()))
+}
+
+// setAddr decodes an address.
+func setAddr(a *netip.AddrPort, v []byte) error {
+	if len(v) < 2 {
+		return errFrame
+	}
+	ip, ok := netip.AddrFromSlice(v[:len(v)-2])
+	if !ok {
+		return errFrame
+	}
+	*a = netip.AddrPortFrom(ip, uint16(v[len(v)-2])<<8|uint16(v[len(v)-1]))
+	return nil
+}
--- /dev/null
+++ b/internal/cropaque/gate.go
@@ -0,0 +1,650 @@
+package cropaque
+
+import (
+	"net/netip"
+	"time"
+
+	"cardamomring.dev/internal/crwire"
+	"cardamomring.dev/pkg/crdoc"
+)
+
+const (
+	// handshakeWait is how long a backend server may take to answer the
+	// opening packet: a few times the handshake and the way on one machine.
+	handshakeWait = 60 * time.Millisecond
+	// openWait is how long a flow may stay unopened after the backend server
+	// answered before its slot is free for others: some round trips.
+	openWait = 300 * time.Millisecond
+	// attemptWait is how long a caller waits for its flow to open.
+	attemptWait = 1400 * time.Millisecond
+	// flowsMax bounds the flows that an agent remembers. Each takes about
+	// 400 bytes.
+	flowsMax = 20_000
+	// endedWait is how long a flow is kept after it ended, for late packets.
+	endedWait = 5 * time.Second
+	// idleDefault is how long a silent flow is kept when the catalog says
+	// nothing.
+	idleDefault = 60 * time.Second
+	// busyMax is how long a request counts as under way without any packet.
+	busyMax = 4 * time.Second
+	// paceDefault is the time of a request before any was measured.
+	paceDefault = 40 * time.Millisecond
+	// paceShare is the weight of a new measurement in the average.
+	paceShare = 0.1
+	// quietBeats is how many announcements may be missing before a backend
+	// server gets no new flows.
+	quietBeats = 4
+	// ackSpan bounds how far an acknowledgement may be from the start of the
+	// flow for it to belong to it, in bytes.
+	ackSpan = 1 << 30
+	// sweepEvery is the time between looks at all flows.
+	sweepEvery = 250 * time.Millisecond
+)
+
+// Server is what a backend server announces of itself.
+type Server struct {
+	// ID and Born name the incarnation; Seq counts its announcements.
+	ID   string
+	Born int64
+	Seq  uint64
+	// Service is the service that it belongs to.
+	Service  string
+	Slots    int
+	Draining bool
+	// Cold is how much longer it is cold.
+	Cold time.Duration
+}
+
+// Gate decides what the backend server beside an agent is given. It answers
+// the load pattern of a burst, or of a zone's return, that meets few slots: no
+// more than the slots are given at once, a short queue holds what can still be
+// answered in time, urgent requests go first, and the rest is refused at once
+// so that balancers place it elsewhere. Set the exported fields before use. It
+// is not safe for concurrent use.
+type Gate struct {
+	// Zone is the agent's availability zone.
+	Zone string
+	// Beat is the time between two announcements of the backend server.
+	Beat time.Duration
+	// ColdFactor and ColdExtra bound what a cold backend server gets in any
+	// second: its bearing times the factor and the extra on top.
+	ColdFactor float64
+	ColdExtra  int
+	// Started is when the agent started.
+	Started time.Time
+	// ToServer hands a packet to the backend server.
+	ToServer func(data []byte)
+	// ToCaller sends a packet to the caller of a flow.
+	ToCaller func(key Key, data []byte)
+	// Reply sends a frame to a balancer.
+	Reply func(to netip.AddrPort, f *Frame)
+	// Reset tells a caller that its flow is lost; seq is what the caller last
+	// acknowledged.
+	Reset func(key Key, seq uint32)
+	// Plain returns a packet that the backend server gave back in the form
+	// that another one takes.
+	Plain func(data []byte) []byte
+	// Doubt is called when the backend server doesn't answer, to look whether
+	// it still exists.
+	Doubt func()
+	// Note takes a decision for the log.
+	Note func(n Note)
+
+	view     *crwire.View
+	routes   routes
+	out      bool
+	opaque   *crdoc.Opaque
+	server   Server
+	present  bool
+	leaving  bool
+	heardAt  time.Time
+	beatAt   time.Time
+	coldTill time.Time
+	// silentAt is when the backend server was found not to answer.
+	silentAt time.Time
+	flows    map[Key]*held
+	queue    waitQueue
+	busy     int
+	pace     time.Duration
+	// recent are the times of opening packets given in the last second.
+	recent []time.Time
+	swept  time.Time
+	// waits are flows whose backend server has not answered the opening
+	// packet yet, in the order they were handed over.
+	waits []*held
+}
+
+// held is a flow at an agent.
+type held struct {
+	key Key
+	// from is the balancer that last brought a packet of it.
+	from netip.AddrPort
+	// start is the caller's first sequence number, isn the backend server's.
+	start, isn uint32
+	// offered says that isn is known; opened, that the caller acknowledged it.
+	offered, opened bool
+	// foreign marks a flow that this agent has never seen begin; the backend
+	// server may hold it.
+	foreign bool
+	// busy says that it takes a slot.
+	busy bool
+	// ended says that the backend server has closed it.
+	ended bool
+	// acked is the caller's last acknowledgement.
+	acked uint32
+	// priority is that of its route, 0 first.
+	priority int
+	// target is the latency that its callers expect.
+	target time.Duration
+	// data is the opening packet while it waits here.
+	data []byte
+	// came, handed and last are the times of the offer, of handing it over and
+	// of the last packet; work is when the request under way began.
+	came, handed, last, work time.Time
+}
+
+// Init makes the gate ready.
+func (g *Gate) Init() {
+	g.flows = map[Key]*held{}
+	g.pace = paceDefault
+	g.view = &crwire.View{}
+}
+
+// SetView takes a later view.
+func (g *Gate) SetView(v *crwire.View) {
+	g.view, g.routes = v, newRoutes(v)
+	out := false
+	for _, z := range v.Out {
+		out = out || z == g.Zone
+	}
+	if out != g.out {
+		g.out = out
+		g.Note(Note{Event: zoneEvent(out), Revision: v.Revision})
+	}
+	g.findOpaque()
+}
+
+// zoneEvent says whether new flows are taken.
+func zoneEvent(out bool) string {
+	if out {
+		return "zone is out of service; taking no new flows"
+	}
+	return "zone is back in service"
+}
+
+// findOpaque looks up the backend server's service.
+func (g *Gate) findOpaque() {
+	g.opaque = nil
+	if g.view.Catalog == nil {
+		return
+	}
+	for i := range g.view.Catalog.Services {
+		if s := &g.view.Catalog.Services[i]; s.Name == g.server.Service {
+			g.opaque = s
+		}
+	}
+}
+
+// Leave begins the agent's stop: it takes no new flows and tells the balancers
+// that have flows here.
+func (g *Gate) Leave() {
+	g.leaving = true
+	told := map[netip.AddrPort]bool{}
+	for _, f := range g.flows {
+		if !told[f.from] {
+			told[f.from] = true
+			g.Reply(f.from, &Frame{Kind: FrameLeave})
+		}
+	}
+}
+
+// Under returns how many open flows have not ended.
+func (g *Gate) Under() int {
+	n := 0
+	for _, f := range g.flows {
+		if f.opened && !f.ended {
+			n++
+		}
+	}
+	return n
+}
+
+// Announce takes an announcement of the backend server and says whether it
+// changed what the agent announces. A late one of a former incarnation, or
+// one that was overtaken, changes nothing.
+func (g *Gate) Announce(now time.Time, s Server) (changed bool) {
+	old := g.server
+	if old.ID != "" && (s.Born < old.Born || s.Born == old.Born && s.Seq <= old.Seq) {
+		return false
+	}
+	if old.ID != "" && s.Born > old.Born {
+		g.Note(Note{Event: "backend server started anew"})
+		g.lose(now)
+	}
+	changed = !g.present || old.Draining != s.Draining || old.Service != s.Service || old.Slots != s.Slots
+	g.server, g.present = s, true
+	g.beatAt, g.heardAt, g.silentAt = now, now, time.Time{}
+	g.coldTill = now.Add(s.Cold)
+	if changed {
+		g.findOpaque()
+		g.Note(Note{Event: serverEvent(s), Load: g.load()})
+	}
+	return changed
+}
+
+// serverEvent says what a backend server announced.
+func serverEvent(s Server) string {
+	if s.Draining {
+		return "backend server drains; taking no new flows"
+	}
+	return "backend server is ready"
+}
+
+// Withdraw takes the goodbye of a backend server.
+func (g *Gate) Withdraw(now time.Time, id string) bool {
+	if !g.present || g.server.ID != id {
+		return false
+	}
+	g.present = false
+	g.Note(Note{Event: "backend server has left"})
+	g.lose(now)
+	return true
+}
+
+// ServerLost says that the backend server doesn't exist any more.
+func (g *Gate) ServerLost(now time.Time) {
+	if g.heardAt.After(g.silentAt) {
+		return
+	}
+	g.Note(Note{Event: "backend server refuses connections; its flows are lost", Age: now.Sub(g.heardAt)})
+	g.present = false
+	g.lose(now)
+}
+
+// ServerAlive says that the backend server takes connections.
+func (g *Gate) ServerAlive(now time.Time) {
+	if !g.silentAt.IsZero() {
+		g.Note(Note{Event: "backend server takes connections", Age: now.Sub(g.silentAt)})
+		g.silentAt = time.Time{}
+	}
+}
+
+// lose ends all flows of an incarnation that is gone. Callers of open flows
+// are told; a flow that wasn't open goes back to its balancer.
+func (g *Gate) lose(now time.Time) {
+	for key, f := range g.flows {
+		switch {
+		case f.ended:
+		case f.opened || f.foreign:
+			g.Note(Note{Event: "caller is reset: its backend server is gone", Key: key, Age: now.Sub(f.last)})
+			g.Reset(key, f.acked)
+		default:
+			g.refuse(f.from, key, ReasonGone)
+		}
+		delete(g.flows, key)
+	}
+	g.busy, g.waits, g.queue = 0, nil, nil
+}
+
+// load returns what balancers are told.
+func (g *Gate) load() Load {
+	return Load{Busy: g.busy, Queued: len(g.queue), Slots: g.server.Slots, Pace: g.pace}
+}
+
+// Frame takes a frame of a balancer; p is the decoded packet in its data.
+func (g *Gate) Frame(now time.Time, from netip.AddrPort, f *Frame, p Packet) {
+	switch f.Kind {
+	case FrameOffer:
+		g.offer(now, from, f, p)
+	case FrameCarry:
+		g.carry(now, from, f, p)
+	case FrameSeek:
+		g.seek(now, from, f.Key)
+	case FramePing:
+		g.Reply(from, &Frame{Kind: FramePong, Load: g.load()})
+	}
+}
+
+// offer decides about a new flow.
+func (g *Gate) offer(now time.Time, from netip.AddrPort, f *Frame, p Packet) {
+	key := p.FromCaller()
+	if known := g.flows[key]; known != nil && known.start == p.Seq {
+		g.again(now, from, known, f.Data)
+		return
+	}
+	route := g.routes[key.Service]
+	reason := g.refusal(now, route)
+	if reason == ReasonNone && g.busy >= g.server.Slots {
+		reason = g.overflow(f.Final, route)
+	}
+	if reason != ReasonNone {
+		g.refuse(from, key, reason)
+		return
+	}
+	next := &held{
+		key: key, from: from, start: p.Seq, priority: route.Priority, target: route.Target.D(),
+		came: now, last: now,
+	}
+	g.remember(next)
+	g.Reply(from, &Frame{Kind: FrameTaken, Key: key, Load: g.load()})
+	if g.busy < g.server.Slots {
+		g.hand(now, next, f.Data)
+		return
+	}
+	next.data = append([]byte(nil), f.Data...)
+	g.queue.push(next)
+	g.Note(Note{Event: "flow waits for a slot", Key: key, Load: g.load(), Revision: g.view.Revision})
+}
+
+// again handles a copy of an opening packet that was taken before.
+func (g *Gate) again(now time.Time, from netip.AddrPort, f *held, data []byte) {
+	f.from, f.last = from, now
+	if f.data == nil {
+		g.ToServer(data)
+	}
+	g.Reply(from, &Frame{Kind: FrameTaken, Key: f.key, Load: g.load()})
+}
+
+// refusal says why no new flow can be taken now, whatever the load.
+func (g *Gate) refusal(now time.Time, route *crdoc.Route) Reason {
+	switch {
+	case g.leaving || g.present && g.server.Draining:
+		return ReasonDraining
+	case !g.present || now.Sub(g.beatAt) > quietBeats*g.Beat:
+		return ReasonAbsent
+	case g.out:
+		return ReasonZone
+	case !leads(route, g.server.Service):
+		return ReasonRoute
+	case !g.silentAt.IsZero():
+		return ReasonSilent
+	case !g.bears(now):
+		return ReasonCold
+	}
+	return ReasonNone
+}
+
+// bears says whether a cold backend server may get another request. The last
+// second counts whole, so that no second holds more than the bound.
+func (g *Gate) bears(now time.Time) bool {
+	for len(g.recent) > 0 && now.Sub(g.recent[0]) > time.Second+50*time.Millisecond {
+		g.recent = g.recent[1:]
+	}
+	if !now.Before(g.coldTill) || g.opaque == nil || g.opaque.ColdRate <= 0 {
+		return true
+	}
+	return float64(len(g.recent)) < g.opaque.ColdRate*g.ColdFactor+float64(g.ColdExtra)-1
+}
+
+// overflow decides about a flow that finds no free slot. Only the last agent
+// that a balancer asks lets it wait, and only as long as it can still be
+// answered within half of its target.
+func (g *Gate) overflow(final bool, route *crdoc.Route) Reason {
+	wait := g.pace * time.Duration(len(g.queue)+1) / time.Duration(max(1, g.server.Slots))
+	if !final || wait > max(route.Target.D()/2, g.pace) {
+		return ReasonFull
+	}
+	return ReasonNone
+}
+
+// refuse tells a balancer why a flow isn't taken.
+func (g *Gate) refuse(to netip.AddrPort, key Key, reason Reason) {
+	g.Note(Note{Event: "flow is refused", Key: key, Reason: reason, Load: g.load(), Revision: g.view.Revision, Routine: true})
+	g.Reply(to, &Frame{Kind: FrameRefused, Key: key, Reason: reason, Load: g.load()})
+}
+
+// remember keeps a flow; beyond the bound the agent forgets an ended one.
+func (g *Gate) remember(f *held) {
+	if len(g.flows) >= flowsMax {
+		for key, old := range g.flows {
+			if old.ended {
+				delete(g.flows, key)
+				break
+			}
+		}
+	}
+	g.flows[f.key] = f
+}
+
+// hand gives the opening packet to the backend server.
+func (g *Gate) hand(now time.Time, f *held, data []byte) {
+	f.handed, f.last, f.work = now, now, now
+	f.data = nil
+	g.setBusy(f, true)
+	g.recent = append(g.recent, now)
+	g.waits = append(g.waits, f)
+	g.ToServer(data)
+}
+
+// setBusy counts a flow's slot.
+func (g *Gate) setBusy(f *held, busy bool) {
+	if f.busy == busy {
+		return
+	}
+	f.busy = busy
+	if busy {
+		g.busy++
+		return
+	}
+	g.busy--
+}
+
+// carry brings a later packet to the backend server if the flow can be its.
+func (g *Gate) carry(now time.Time, from netip.AddrPort, fr *Frame, p Packet) {
+	key := p.FromCaller()
+	f := g.flows[key]
+	switch {
+	case f == nil && g.recovering(now):
+		f = &held{key: key, from: from, foreign: true, came: now}
+		g.remember(f)
+	case f == nil, f.offered && p.Ack && p.Acked-f.isn > ackSpan, f.data != nil:
+		g.Reply(from, &Frame{Kind: FrameForeign, Key: key, Load: g.load(), Data: fr.Data})
+		return
+	}
+	f.from, f.last = from, now
+	if p.Ack {
+		f.acked = p.Acked
+		f.opened = f.opened || f.offered
+	}
+	if p.Size > 0 && !f.ended && !f.busy {
+		f.work = now
+		g.setBusy(f, true)
+	}
+	if p.Reset {
+		f.ended = true
+		g.setBusy(f, false)
+		g.pump(now)
+	}
+	g.ToServer(fr.Data)
+}
+
+// recovering says whether the backend server may hold flows that began before
+// this agent started.
+func (g *Gate) recovering(now time.Time) bool {
+	return now.Sub(g.Started) < idleDefault && (!g.present || g.server.Born < g.Started.UnixMilli())
+}
+
+// seek tells whether the agent owns a flow.
+func (g *Gate) seek(now time.Time, from netip.AddrPort, key Key) {
+	kind := FrameForeign
+	f := g.flows[key]
+	switch {
+	case f != nil && !f.foreign:
+		kind = FrameOwn
+		f.from = from
+	case f != nil || g.recovering(now):
+		kind = FrameMaybe
+	}
+	g.Reply(from, &Frame{Kind: kind, Key: key, Load: g.load()})
+}
+
+// FromServer takes a packet that the backend server sent.
+func (g *Gate) FromServer(now time.Time, p Packet, data []byte) {
+	g.heardAt = now
+	if !g.silentAt.IsZero() {
+		g.Note(Note{Event: "backend server answers again", Age: now.Sub(g.silentAt)})
+		g.silentAt = time.Time{}
+	}
+	if p.Returned {
+		g.returned(now, p, data)
+		return
+	}
+	key := p.FromServer()
+	f := g.flows[key]
+	if f == nil {
+		f = &held{key: key, came: now, opened: true}
+		g.remember(f)
+	}
+	g.follow(now, f, p)
+	g.ToCaller(key, data)
+	g.pump(now)
+}
+
+// follow notes what an answer says of a flow.
+func (g *Gate) follow(now time.Time, f *held, p Packet) {
+	f.last, f.foreign = now, false
+	switch {
+	case p.Open && p.Ack:
+		f.isn, f.offered = p.Seq, true
+	case p.Reset:
+		f.ended = true
+		g.setBusy(f, false)
+	case p.End || p.Size > 0 && p.Size < fullSize:
+		// A packet that isn't full ends the answer.
+		if f.busy {
+			g.measure(now.Sub(f.work))
+		}
+		g.setBusy(f, false)
+	}
+	f.ended = f.ended || p.End
+}
+
+// fullSize is the data of a packet that more follow, in bytes.
+const fullSize = 1200
+
+// measure takes the time of a request into the average.
+func (g *Gate) measure(d time.Duration) {
+	g.pace += time.Duration(paceShare * float64(d-g.pace))
+}
+
+// returned handles a packet that the backend server gave back. An opening one
+// is refused; a later one of a flow that was open here proves that the backend
+// server has lost it.
+func (g *Gate) returned(now time.Time, p Packet, data []byte) {
+	key := p.FromCaller()
+	f := g.flows[key]
+	if f == nil {
+		return
+	}
+	switch {
+	case p.Open:
+		g.drop(f)
+		g.refuse(f.from, key, ReasonFull)
+	case f.offered && f.opened:
+		g.drop(f)
+		if f.ended {
+			return
+		}
+		g.Note(Note{Event: "caller is reset: its backend server doesn't hold the flow", Key: key, Age: now.Sub(f.came)})
+		g.Reset(key, f.acked)
+	default:
+		g.drop(f)
+		g.Reply(f.from, &Frame{Kind: FrameForeign, Key: key, Load: g.load(), Data: g.Plain(data)})
+	}
+	g.pump(now)
+}
+
+// drop forgets a flow.
+func (g *Gate) drop(f *held) {
+	g.setBusy(f, false)
+	f.ended = true
+	delete(g.flows, f.key)
+}
+
+// pump hands over waiting flows while slots are free.
+func (g *Gate) pump(now time.Time) {
+	for g.busy < g.server.Slots && len(g.queue) > 0 {
+		f := g.queue.pop()
+		if g.flows[f.key] != f {
+			continue
+		}
+		if reason := g.refusal(now, g.routes[f.key.Service]); reason != ReasonNone {
+			g.drop(f)
+			g.refuse(f.from, f.key, reason)
+			continue
+		}
+		g.hand(now, f, f.data)
+	}
+}
+
+// Tick finds what is overdue; call it every few milliseconds while flows wait.
+func (g *Gate) Tick(now time.Time) {
+	g.expectAnswers(now)
+	if now.Sub(g.swept) >= sweepEvery {
+		g.swept = now
+		g.sweep(now)
+	}
+	g.pump(now)
+}
+
+// expectAnswers looks at opening packets that the backend server hasn't
+// answered in time.
+func (g *Gate) expectAnswers(now time.Time) {
+	for len(g.waits) > 0 {
+		f := g.waits[0]
+		if f.offered || f.ended || g.flows[f.key] != f {
+			g.waits = g.waits[1:]
+			continue
+		}
+		if now.Sub(f.handed) < handshakeWait {
+			return
+		}
+		g.waits = g.waits[1:]
+		if g.heardAt.After(f.handed) {
+			// It answers others: the packet was lost on the way.
+			continue
+		}
+		if g.silentAt.IsZero() {
+			g.silentAt = now
+			g.Note(Note{Event: "backend server is silent", Key: f.key, Age: now.Sub(g.heardAt), Load: g.load()})
+			g.Doubt()
+		}
+		g.drop(f)
+		g.refuse(f.from, f.key, ReasonSilent)
+	}
+}
+
+// sweep frees slots of flows that nobody uses and forgets old flows.
+func (g *Gate) sweep(now time.Time) {
+	idle := idleDefault
+	if g.view.Catalog != nil && g.view.Catalog.Idle > 0 {
+		idle = g.view.Catalog.Idle.D()
+	}
+	for key, f := range g.flows {
+		quiet := now.Sub(f.last)
+		switch {
+		case f.ended && quiet > endedWait, quiet > idle:
+			g.setBusy(f, false)
+			delete(g.flows, key)
+		case f.data != nil && now.Sub(f.came) > attemptWait:
+			g.drop(f)
+		case f.busy && f.offered && !f.opened && now.Sub(f.handed) > openWait, f.busy && quiet > busyMax:
+			g.setBusy(f, false)
+		}
+	}
+	g.queue.clean(func(f *held) bool { return g.flows[f.key] == f })
+	if !g.silentAt.IsZero() && now.Sub(g.silentAt) > sweepEvery {
+		g.Doubt()
+	}
+}
+
+// Next returns how long nothing is due.
+func (g *Gate) Next(now time.Time) time.Duration {
+	next := g.swept.Add(sweepEvery)
+	if len(g.waits) > 0 {
+		if at := g.waits[0].handed.Add(handshakeWait); at.Before(next) {
+			next = at
+		}
+	}
+	return next.Sub(now)
+}
--- a/internal/crreplica/core.go
+++ b/internal/crreplica/core.go
@@ -11,6 +11,10 @@
 // followers that are a little behind.
 const keepShare = 4
 
+// grownMax is how many bytes of entries make a snapshot due. With the snapshot
+// and the copy that replaces it, the log stays under half of a disk of 64 MB.
+const grownMax = 4 << 20
+
 // Core joins a node to its disk: it carries out the node's effects in order,
 // so that nothing is answered or applied before it is synced. It opens no
 // socket and reads no clock. Set the exported fields before Open.
@@ -28,6 +32,10 @@
 	Restore func(snap crquorum.Snapshot) error
 	// Every is how many entries are applied between snapshots.
 	Every uint64
+
+	// grown is what entries have added to the log since the last snapshot,
+	// in bytes.
+	grown int
 }
 
 // Open loads what is on disk. It returns how many bytes of an unfinished write
@@ -66,6 +74,9 @@
 
 // persist syncs what the node wants on disk.
 func (c *Core) persist(e crquorum.Effects) error {
+	for i := range e.Entries {
+		c.grown += len(e.Entries[i].Data)
+	}
 	if e.Snapshot == nil {
 		return c.Store.Append(e.Hard, e.Entries)
 	}
@@ -81,8 +92,9 @@
 // compact takes a snapshot when enough entries have been applied.
 func (c *Core) compact() error {
 	s := c.Node.Status()
-	if s.Applied-s.Snapshot < c.Every {
+	if s.Applied == s.Snapshot || s.Applied-s.Snapshot < c.Every && c.grown < grownMax {
 		return nil
 	}
+	c.grown = 0
 	return c.Store.Replace(c.Node.Compact(c.Snapshot(), c.Every/keepShare))
 }
--- a/internal/crreplica/link.go
+++ b/internal/crreplica/link.go
@@ -77,7 +77,7 @@
 		}
 	}
 	l := &link{
-		key: key, from: r.Settings.ID, self: r.Settings.Members[r.Settings.ID], client: r.Client,
+		key: key, from: r.Settings.ID, self: r.self(), client: r.Client,
 		queue: make(chan crquorum.Message, queueSize), quit: make(chan struct{}),
 	}
 	r.links[key] = l
@@ -85,6 +85,14 @@
 	return l
 }
 
+// self returns the host:port of this instance.
+func (r *Replica) self() string {
+	if r.Settings.Address != "" {
+		return r.Settings.Address
+	}
+	return r.Settings.Members[r.Settings.ID]
+}
+
 // run sends what is queued until quit is closed and the queue is empty.
 func (l *link) run() {
 	for {
--- a/internal/crreplica/replica.go
+++ b/internal/crreplica/replica.go
@@ -76,6 +76,9 @@
 	// Every is how many entries are applied between snapshots; 0 means the
 	// default.
 	Every uint64
+	// Election is the shortest election timeout in ticks; 0 means the
+	// default.
+	Election uint64
 
 	node *crquorum.Node
 	core *Core
@@ -89,8 +92,8 @@
 	links     map[linkKey]*link
 	// learnt maps instances to the host:port that their last batch named.
 	learnt map[uint64]string
-	// ticked is the time of the node's clock.
-	ticked  time.Time
+	// ticked is the time of the node's clock, by crclock.
+	ticked  time.Duration
 	shown   atomic.Pointer[shown]
 	metrics metrics
 	group   sync.WaitGroup
--- a/internal/crreplica/run.go
+++ b/internal/crreplica/run.go
@@ -9,6 +9,7 @@
 	mathrand "math/rand/v2"
 	"time"
 
+	"cardamomring.dev/internal/crclock"
 	"cardamomring.dev/internal/crquorum"
 	"cardamomring.dev/internal/crstore"
 )
@@ -43,7 +44,9 @@
 		}
 		r.Folder = folder
 	}
-	r.node = &crquorum.Node{ID: r.Settings.ID, Initial: r.Settings.Members, Rand: mathrand.Uint64N}
+	r.node = &crquorum.Node{
+		ID: r.Settings.ID, Initial: r.Settings.Members, Rand: mathrand.Uint64N, Election: r.Election,
+	}
 	r.core = &Core{
 		Node:     r.node,
 		Store:    &crstore.Store{Folder: r.timed(r.Folder), Rand: randomNumber},
@@ -60,7 +63,7 @@
 	if cut > 0 {
 		r.logf("cut %d bytes of an unfinished write off the log", cut)
 	}
-	r.ticked = time.Now()
+	r.ticked = crclock.Now()
 	return nil
 }
 
@@ -124,9 +127,9 @@
 // advance moves the node's clock to the present and reports a lease that has
 // ended meanwhile.
 func (r *Replica) advance() {
-	ticks := time.Since(r.ticked) / r.Tick
+	ticks := (crclock.Now() - r.ticked) / r.Tick
 	if ticks > 0 {
-		r.ticked = r.ticked.Add(ticks * r.Tick)
+		r.ticked += ticks * r.Tick
 		r.node.Tick(uint64(ticks))
 		r.show()
 	}
--- a/internal/crreplica/status.go
+++ b/internal/crreplica/status.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"cardamomring.dev/internal/crclock"
 	"cardamomring.dev/internal/crquorum"
 )
 
@@ -35,8 +36,8 @@
 // shown is the status that other goroutines see.
 type shown struct {
 	status Status
-	// until is when the status stops being fresh.
-	until time.Time
+	// until is when the status stops being fresh, by crclock.
+	until time.Duration
 }
 
 // Status returns what the replica knows of itself. Fresh is judged at the time
@@ -47,7 +48,7 @@
 		return Status{ID: r.Settings.ID}
 	}
 	status := s.status
-	status.Fresh = time.Now().Before(s.until)
+	status.Fresh = crclock.Now() < s.until
 	return status
 }
 
@@ -64,7 +65,7 @@
 		}
 	}
 	until := r.freshUntil()
-	status.Fresh = time.Now().Before(until)
+	status.Fresh = crclock.Now() < until
 	old := r.shown.Swap(&shown{status: status, until: until})
 	r.metrics.show(status)
 	if old == nil || old.status.Leader != now.Leader || old.status.Leading != now.Leading ||
@@ -74,12 +75,12 @@
 }
 
 // freshUntil converts the node's lease to time.
-func (r *Replica) freshUntil() time.Time {
+func (r *Replica) freshUntil() time.Duration {
 	until, now := r.node.FreshUntil(), r.node.Now()
 	if until <= now {
-		return time.Time{}
+		return 0
 	}
-	return r.ticked.Add(time.Duration(until-now) * r.Tick)
+	return r.ticked + time.Duration(until-now)*r.Tick
 }
 
 // address returns an instance's host:port, empty when unknown.
--- a/internal/crstate/change.go
+++ b/internal/crstate/change.go
@@ -40,6 +40,8 @@
 	switch c.Kind {
 	case crwire.KindApply:
 		delta, result = s.applyService(c, e.Findings, &line)
+	case crwire.KindCatalog:
+		delta, result = s.applyCatalog(c, e.Findings, &line)
 	case crwire.KindInstance:
 		result = noteInstance(c, e.Findings, &line)
 	default:
--- a/internal/crstate/state.go
+++ b/internal/crstate/state.go
@@ -38,6 +38,10 @@
 	// Seq is the number of the last audit line.
 	Seq   uint64         `json:"seq"`
 	Audit []crwire.Audit `json:"audit"`
+	// Catalog holds the opaque services, and Source the same as its operator
+	// wrote it.
+	Catalog *crdoc.Catalog `json:"catalog,omitempty"`
+	Source  []byte         `json:"source,omitempty"`
 	// Claims holds the claims of each service by key.
 	Claims map[string]map[string]*claim `json:"claims"`
 }
@@ -65,7 +69,7 @@
 func (s *State) Apply(e Entry) Reply {
 	s.pass(e.Time)
 	switch e.Kind {
-	case crwire.KindApply, crwire.KindZoneOut, crwire.KindZoneIn, crwire.KindInstance:
+	case crwire.KindApply, crwire.KindZoneOut, crwire.KindZoneIn, crwire.KindInstance, crwire.KindCatalog:
 		return s.applyChange(e)
 	case crwire.KindMembers:
 		return s.applyMembers(e.Members)
@@ -84,6 +88,7 @@
 		Services: maps.Clone(s.Services),
 		Out:      slices.Clone(s.Out),
 		Members:  maps.Clone(s.Members),
+		Catalog:  s.Catalog,
 	}
 }
 
--- /dev/null
+++ b/internal/crwire/admit.go
@@ -0,0 +1,23 @@
+package crwire
+
+// Admit asks control to let an instance take part in the replicated log:
+// POST /admit.
+type Admit struct {
+	// ID is the instance's number, at least 1.
+	ID uint64 `json:"id"`
+	// Address is its host:port.
+	Address string `json:"address"`
+}
+
+// Admitted answers it.
+type Admitted struct {
+	// Voting says that the instance has a vote.
+	Voting bool `json:"voting"`
+}
+
+// Held is the catalog as its operator wrote it: POST /catalog.
+type Held struct {
+	// Version is 0 before the first catalog.
+	Version uint64 `json:"version"`
+	Source  []byte `json:"source"`
+}
--- a/internal/crwire/change.go
+++ b/internal/crwire/change.go
@@ -24,6 +24,12 @@
 	KindOutcomes
 	// KindInstance changes who takes part in the replicated log.
 	KindInstance
+	// KindCatalog sets the catalog of opaque services; the highest version
+	// wins.
+	KindCatalog
+	// KindRead changes nothing; once it is applied, the state holds whatever
+	// was committed before it was proposed.
+	KindRead
 )
 
 // Op is what is done to a control instance.
@@ -78,6 +84,10 @@
 	Zone string `json:"zone,omitempty"`
 	// Instance is the change of KindInstance.
 	Instance *Instance `json:"instance,omitempty"`
+	// Catalog is the catalog of KindCatalog.
+	Catalog *crdoc.Catalog `json:"catalog,omitempty"`
+	// Source is the catalog as the operator wrote it, for KindCatalog.
+	Source []byte `json:"source,omitempty"`
 }
 
 // Result answers a change.
--- a/internal/crwire/enum_gen.go
+++ b/internal/crwire/enum_gen.go
@@ -96,11 +96,11 @@
 	return err
 }
 
-const _KindName = "applyzoneoutzoneinmembersclaimssinstance"
+const _KindName = "applyzoneoutzoneinmembersclaimssinstancecatalogread"
 
-var _KindIndex = [...]uint8{0, 5, 12, 18, 25, 31, 32, 40}
+var _KindIndex = [...]uint8{0, 5, 12, 18, 25, 31, 32, 40, 47, 51}
 
-const _KindLowerName = "applyzoneoutzoneinmembersclaimssinstance"
+const _KindLowerName = "applyzoneoutzoneinmembersclaimssinstancecatalogread"
 
 func (i Kind) String() string {
 	if i < 0 || i >= Kind(len(_KindIndex)-1) {
@@ -120,9 +120,11 @@
 	_ = x[KindClaims-(4)]
 	_ = x[KindOutcomes-(5)]
 	_ = x[KindInstance-(6)]
+	_ = x[KindCatalog-(7)]
+	_ = x[KindRead-(8)]
 }
 
-var _KindValues = []Kind{KindApply, KindZoneOut, KindZoneIn, KindMembers, KindClaims, KindOutcomes, KindInstance}
+var _KindValues = []Kind{KindApply, KindZoneOut, KindZoneIn, KindMembers, KindClaims, KindOutcomes, KindInstance, KindCatalog, KindRead}
 
 var _KindNameToValueMap = map[string]Kind{
 	_KindName[0:5]:   KindApply,
@@ -132,6 +134,8 @@
 	_KindName[25:31]: KindClaims,
 	_KindName[31:32]: KindOutcomes,
 	_KindName[32:40]: KindInstance,
+	_KindName[40:47]: KindCatalog,
+	_KindName[47:51]: KindRead,
 }
 
 var _KindLowerNameToValueMap = map[string]Kind{
@@ -142,6 +146,8 @@
 	_KindLowerName[25:31]: KindClaims,
 	_KindLowerName[31:32]: KindOutcomes,
 	_KindLowerName[32:40]: KindInstance,
+	_KindLowerName[40:47]: KindCatalog,
+	_KindLowerName[47:51]: KindRead,
 }
 
 var _KindNames = []string{
@@ -152,6 +158,8 @@
 	_KindName[25:31],
 	_KindName[31:32],
 	_KindName[32:40],
+	_KindName[40:47],
+	_KindName[47:51],
 }
 
 // KindString retrieves an enum value from the enum constants string name.
--- a/internal/crwire/view.go
+++ b/internal/crwire/view.go
@@ -13,6 +13,8 @@
 	Out []string `json:"out"`
 	// Members are the agents by number; gone ones are absent.
 	Members map[uint32]Member `json:"members"`
+	// Catalog holds the opaque services; nil before the first one.
+	Catalog *crdoc.Catalog `json:"catalog,omitempty"`
 }
 
 // Delta leads from revision From to revision To.
@@ -27,6 +29,8 @@
 	Zoned bool     `json:"zoned,omitempty"`
 	// Members are agents that were set; a gone one is removed.
 	Members []Member `json:"members,omitempty"`
+	// Catalog replaces the catalog; nil leaves it.
+	Catalog *crdoc.Catalog `json:"catalog,omitempty"`
 }
 
 // Feed is the answer to GET /feed?after=REV&wait=DURATION.
@@ -36,6 +40,9 @@
 	Stale bool `json:"stale,omitempty"`
 	// Revision is the sender's own.
 	Revision uint64 `json:"rev"`
+	// Control lists the host:port of the control instances that the sender
+	// knows; empty says nothing.
+	Control []string `json:"control,omitempty"`
 	// Snapshot is the whole view, when deltas don't reach back far enough.
 	Snapshot *View `json:"snapshot,omitempty"`
 	// Deltas lead from the asked revision onwards, each from the one before.
--- a/pkg/crdoc/settings.go
+++ b/pkg/crdoc/settings.go
@@ -120,6 +120,9 @@
 	Data string `json:"data"`
 	// Members maps the ID of each initial instance to its host:port.
 	Members map[uint64]string `json:"members"`
+	// Address is the host:port that others call, for an instance that isn't
+	// an initial one: it asks the others to admit it.
+	Address string `json:"address,omitempty"`
 	// Lease is how long a silent agent stays a member.
 	Lease Duration `json:"lease,omitempty"`
 	// Tokens maps an operator's name to the SHA-256 of the token, in
