A flow that its caller never opens keeps a place for three handshakes only

Cause: each flow whose caller had gone took a slot of its backend server for 300 ms (and up to 4 s), 12 times a request's work. Ruled out: too few slots (offered load is 45% of capacity), host queues (hosts saw 3 flows at a time). Change: places for opening flows are counted apart from running requests; they end after three usual handshakes, and half of the slots may be handed out on top, as backend servers are idle during handshakes.

--- a/internal/cropaque/gate.go
+++ b/internal/cropaque/gate.go
@@ -12,9 +12,15 @@
 	// handshakeWait is how long a backend server may take to answer the
 	// opening packet: a few times the handshake and the way on one machine.
 	handshakeWait = 60 * time.Millisecond
-	// openWait is how long a flow may stay unopened after the backend server
-	// answered before its slot is free for others: some round trips.
-	openWait = 300 * time.Millisecond
+	// openFactor is how many usual handshakes a caller may take to open its
+	// flow before the place kept for it goes to others; openMin bounds the time
+	// from below, and openDefault is the handshake before any was measured.
+	openFactor  = 3
+	openMin     = 15 * time.Millisecond
+	openDefault = 10 * time.Millisecond
+	// spareShare is the part of the slots that may be handed out beyond them,
+	// so that slots aren't idle during the handshakes of the next requests.
+	spareShare = 0.5
 	// attemptWait is how long a caller waits for its flow to open.
 	attemptWait = 1400 * time.Millisecond
 	// flowsMax bounds the flows that an agent remembers. Each takes about
@@ -104,16 +110,35 @@
 	silentAt time.Time
 	flows    map[Key]*held
 	queue    waitQueue
-	busy     int
-	pace     time.Duration
+	// opening counts the flows whose request has not come yet, running those
+	// whose request is under way.
+	opening, running int
+	pace             time.Duration
+	// handshake is the average time from the opening packet to the caller's
+	// acknowledgement.
+	handshake time.Duration
 	// recent are the times of opening packets given in the last second.
 	recent []time.Time
 	swept  time.Time
 	// waits are flows whose backend server has not answered the opening
 	// packet yet, in the order they were handed over.
 	waits []*held
+	// openings are flows that keep a place for their request, likewise.
+	openings []*held
 }
 
+// use is what a flow takes of a backend server.
+type use int
+
+const (
+	// useNone takes nothing: no request is under way.
+	useNone use = iota
+	// useOpening keeps a place for a request that hasn't come.
+	useOpening
+	// useRunning takes a slot.
+	useRunning
+)
+
 // held is a flow at an agent.
 type held struct {
 	key Key
@@ -126,8 +151,8 @@
 	// foreign marks a flow that this agent has never seen begin; the backend
 	// server may hold it.
 	foreign bool
-	// busy says that it takes a slot.
-	busy bool
+	// use says what it takes of the backend server.
+	use use
 	// ended says that the backend server has closed it.
 	ended bool
 	// acked is the caller's last acknowledgement.
@@ -146,7 +171,7 @@
 // Init makes the gate ready.
 func (g *Gate) Init() {
 	g.flows = map[Key]*held{}
-	g.pace = paceDefault
+	g.pace, g.handshake = paceDefault, openDefault
 	g.view = &crwire.View{}
 }
 
@@ -283,12 +308,12 @@
 		}
 		delete(g.flows, key)
 	}
-	g.busy, g.waits, g.queue = 0, nil, nil
+	g.opening, g.running, g.waits, g.openings, g.queue = 0, 0, nil, nil, nil
 }
 
 // load returns what balancers are told.
 func (g *Gate) load() Load {
-	return Load{Busy: g.busy, Queued: len(g.queue), Slots: g.server.Slots, Pace: g.pace}
+	return Load{Busy: g.opening + g.running, Queued: len(g.queue), Slots: g.server.Slots, Pace: g.pace}
 }
 
 // Frame takes a frame of a balancer; p is the decoded packet in its data.
@@ -314,7 +339,7 @@
 	}
 	route := g.routes[key.Service]
 	reason := g.refusal(now, route)
-	if reason == ReasonNone && g.busy >= g.server.Slots {
+	if reason == ReasonNone && !g.free() {
 		reason = g.overflow(f.Final, route)
 	}
 	if reason != ReasonNone {
@@ -327,7 +352,7 @@
 	}
 	g.remember(next)
 	g.Reply(from, &Frame{Kind: FrameTaken, Key: key, Load: g.load()})
-	if g.busy < g.server.Slots {
+	if g.free() {
 		g.hand(now, next, f.Data)
 		return
 	}
@@ -410,23 +435,37 @@
 func (g *Gate) hand(now time.Time, f *held, data []byte) {
 	f.handed, f.last, f.work = now, now, now
 	f.data = nil
-	g.setBusy(f, true)
+	g.setUse(f, useOpening)
 	g.recent = append(g.recent, now)
 	g.waits = append(g.waits, f)
+	g.openings = append(g.openings, f)
 	g.ToServer(data)
 }
 
-// setBusy counts a flow's slot.
-func (g *Gate) setBusy(f *held, busy bool) {
-	if f.busy == busy {
-		return
+// free says whether the backend server can be handed another flow. Flows that
+// are opening get a few places beyond the slots, because the backend server is
+// idle for them until their request comes.
+func (g *Gate) free() bool {
+	slots := g.server.Slots
+	spare := max(1, int(spareShare*float64(slots)))
+	return g.running < slots && g.running+g.opening < slots+spare
+}
+
+// setUse counts what a flow takes.
+func (g *Gate) setUse(f *held, u use) {
+	switch f.use {
+	case useOpening:
+		g.opening--
+	case useRunning:
+		g.running--
 	}
-	f.busy = busy
-	if busy {
-		g.busy++
-		return
+	f.use = u
+	switch u {
+	case useOpening:
+		g.opening++
+	case useRunning:
+		g.running++
 	}
-	g.busy--
 }
 
 // carry brings a later packet to the backend server if the flow can be its.
@@ -444,15 +483,18 @@
 	f.from, f.last = from, now
 	if p.Ack {
 		f.acked = p.Acked
-		f.opened = f.opened || f.offered
+		if !f.opened && f.offered {
+			f.opened = true
+			g.handshake += time.Duration(paceShare * float64(now.Sub(f.handed)-g.handshake))
+		}
 	}
-	if p.Size > 0 && !f.ended && !f.busy {
+	if p.Size > 0 && !f.ended && f.use != useRunning {
 		f.work = now
-		g.setBusy(f, true)
+		g.setUse(f, useRunning)
 	}
 	if p.Reset {
 		f.ended = true
-		g.setBusy(f, false)
+		g.setUse(f, useNone)
 		g.pump(now)
 	}
 	g.ToServer(fr.Data)
@@ -508,13 +550,13 @@
 		f.isn, f.offered = p.Seq, true
 	case p.Reset:
 		f.ended = true
-		g.setBusy(f, false)
+		g.setUse(f, useNone)
 	case p.End || p.Size > 0 && p.Size < fullSize:
 		// A packet that isn't full ends the answer.
-		if f.busy {
+		if f.use == useRunning {
 			g.measure(now.Sub(f.work))
 		}
-		g.setBusy(f, false)
+		g.setUse(f, useNone)
 	}
 	f.ended = f.ended || p.End
 }
@@ -556,14 +598,14 @@
 
 // drop forgets a flow.
 func (g *Gate) drop(f *held) {
-	g.setBusy(f, false)
+	g.setUse(f, useNone)
 	f.ended = true
 	delete(g.flows, f.key)
 }
 
 // pump hands over waiting flows while slots are free.
 func (g *Gate) pump(now time.Time) {
-	for g.busy < g.server.Slots && len(g.queue) > 0 {
+	for len(g.queue) > 0 && g.free() {
 		f := g.queue.pop()
 		if g.flows[f.key] != f {
 			continue
@@ -580,6 +622,7 @@
 // Tick finds what is overdue; call it every few milliseconds while flows wait.
 func (g *Gate) Tick(now time.Time) {
 	g.expectAnswers(now)
+	g.expectOpening(now)
 	if now.Sub(g.swept) >= sweepEvery {
 		g.swept = now
 		g.sweep(now)
@@ -614,6 +657,22 @@
 	}
 }
 
+// expectOpening frees the places kept for callers that don't open their flows:
+// most have gone.
+func (g *Gate) expectOpening(now time.Time) {
+	wait := max(openMin, openFactor*g.handshake)
+	for len(g.openings) > 0 {
+		f := g.openings[0]
+		if f.use == useOpening && now.Sub(f.handed) < wait {
+			return
+		}
+		g.openings = g.openings[1:]
+		if f.use == useOpening {
+			g.setUse(f, useNone)
+		}
+	}
+}
+
 // sweep frees slots of flows that nobody uses and forgets old flows.
 func (g *Gate) sweep(now time.Time) {
 	idle := idleDefault
@@ -624,12 +683,12 @@
 		quiet := now.Sub(f.last)
 		switch {
 		case f.ended && quiet > endedWait, quiet > idle:
-			g.setBusy(f, false)
+			g.setUse(f, useNone)
 			delete(g.flows, key)
 		case f.data != nil && now.Sub(f.came) > attemptWait:
 			g.drop(f)
-		case f.busy && f.offered && !f.opened && now.Sub(f.handed) > openWait, f.busy && quiet > busyMax:
-			g.setBusy(f, false)
+		case f.use == useRunning && quiet > busyMax:
+			g.setUse(f, useNone)
 		}
 	}
 	g.queue.clean(func(f *held) bool { return g.flows[f.key] == f })
@@ -646,5 +705,10 @@
 			next = at
 		}
 	}
+	if len(g.queue) > 0 && len(g.openings) > 0 {
+		if at := g.openings[0].handed.Add(max(openMin, openFactor*g.handshake)); at.Before(next) {
+			next = at
+		}
+	}
 	return next.Sub(now)
 }
