--- a/internal/crlane/journal.go
+++ b/internal/crlane/journal.go
@@ -26,9 +26,9 @@
 
 	mu sync.Mutex
 	// second is the second that the budget is for.
-	second           time.Time
-	routine, other   int
-	omitted, written int
+	second         time.Time
+	routine, other int
+	omitted        int
 }
 
 // newJournal registers the counters.
--- a/internal/cropaque/steering.go
+++ b/internal/cropaque/steering.go
@@ -703,7 +703,8 @@
 	route := s.routes[key.Service]
 	gone := s.peers[p.addr] != p
 	silent := !p.asked.IsZero() && now.Sub(p.asked) >= silentAfter
-	if !gone && !(silent && route != nil && route.Repeatable) {
+	repeatable := route != nil && route.Repeatable
+	if !gone && (!silent || !repeatable) {
 		return
 	}
 	s.Note(Note{Event: "caller is reset: its agent is " + silence(gone), Key: key, Agent: p.addr, Age: now.Sub(p.heard)})
--- a/internal/cropaque/world_load_test.go
+++ b/internal/cropaque/world_load_test.go
@@ -7,9 +7,6 @@
 	"github.com/google/go-cmp/cmp"
 )
 
-// zones are those of the worlds.
-var zones = []string{"a", "b", "c"}
-
 const (
 	// calmLoad is 45% of what seven backend servers of three slots and 24 ms
 	// answer in a second.
@@ -31,7 +28,7 @@
 // TestCalm: with load under half of the capacity everybody is answered in time,
 // and nobody twice.
 func TestCalm(t *testing.T) {
-	w := newWorld(1, zones, 7, 3, 24*time.Millisecond)
+	w := newWorld(1)
 	w.load(calmLoad, 5*time.Second, false)
 	w.run(7 * time.Second)
 	atLeast(t, w, "answered in time", w.share(0, 5*time.Second, aim), 0.99)
@@ -47,7 +44,7 @@
 // answer late, so that balancers offer each flow to several of them. Callers
 // open one of these flows; the places of the others must not be held.
 func TestRecoversFromSlowAgents(t *testing.T) {
-	w := newWorld(2, zones, 7, 3, 24*time.Millisecond)
+	w := newWorld(2)
 	w.load(calmLoad, 8*time.Second, true)
 	w.run(2 * time.Second)
 	w.lag = 70 * time.Millisecond
@@ -60,7 +57,7 @@
 // TestRecoversFromStall: all backend servers stall for a moment, and callers
 // come back up to twice.
 func TestRecoversFromStall(t *testing.T) {
-	w := newWorld(2, zones, 7, 3, 24*time.Millisecond)
+	w := newWorld(2)
 	w.load(calmLoad, 8*time.Second, true)
 	w.run(2 * time.Second)
 	for _, a := range w.agents {
@@ -73,7 +70,7 @@
 // TestLostAgent: an agent and its backend server fall silent. New flows go
 // elsewhere within a few round trips, not at the callers' next copy.
 func TestLostAgent(t *testing.T) {
-	w := newWorld(3, zones, 7, 3, 24*time.Millisecond)
+	w := newWorld(3)
 	w.load(calmLoad, 4*time.Second, true)
 	w.run(2 * time.Second)
 	for _, a := range w.agents {
@@ -88,7 +85,7 @@
 // owner; none is reset and no request runs twice.
 func TestLostBalancer(t *testing.T) {
 	for seed := range uint64(20) {
-		w := newWorld(seed, zones, 7, 3, 24*time.Millisecond)
+		w := newWorld(seed)
 		w.load(calmLoad, 4*time.Second, false)
 		w.run(2 * time.Second)
 		w.balancers[seed%6].down = true
@@ -111,7 +108,7 @@
 // no living flow is reset for that.
 func TestLossyWays(t *testing.T) {
 	for seed := range uint64(20) {
-		w := newWorld(seed, zones, 7, 3, 24*time.Millisecond)
+		w := newWorld(seed)
 		w.loss = 0.03
 		w.load(calmLoad, 4*time.Second, false)
 		w.run(2 * time.Second)
@@ -128,7 +125,7 @@
 // learns its flows from their packets; none is reset.
 func TestRestartedAgent(t *testing.T) {
 	for seed := range uint64(20) {
-		w := newWorld(seed, zones, 7, 3, 24*time.Millisecond)
+		w := newWorld(seed)
 		w.load(calmLoad, 4*time.Second, false)
 		w.run(2 * time.Second)
 		for _, a := range w.agents {
@@ -146,7 +143,7 @@
 // TestCrashedServer: callers of a backend server that crashed are told at once
 // and served by others.
 func TestCrashedServer(t *testing.T) {
-	w := newWorld(4, zones, 7, 3, 24*time.Millisecond)
+	w := newWorld(4)
 	w.load(calmLoad, 4*time.Second, true)
 	w.run(2 * time.Second)
 	for _, a := range w.agents {
@@ -160,7 +157,7 @@
 // TestBurst: at 1.7 times the load, and once at more than the capacity, what
 // the backend servers can do is done, and most of it in time.
 func TestBurst(t *testing.T) {
-	w := newWorld(5, zones, 7, 3, 24*time.Millisecond)
+	w := newWorld(5)
 	w.load(calmLoad, 6*time.Second, true)
 	w.after(time.Second, func() { w.load(0.7*calmLoad, 2*time.Second, true) })
 	w.after(4*time.Second, func() { w.load(2.2*calmLoad, time.Second, true) })
--- a/internal/cropaque/world_test.go
+++ b/internal/cropaque/world_test.go
@@ -140,8 +140,19 @@
 	at *agent
 }
 
+// The ledger of the school savings scheme: servers of some slots, and the time
+// of a request.
+const (
+	servers = 7
+	slots   = 3
+	work    = 24 * time.Millisecond
+)
+
+// zones are the availability zones of a world.
+var zones = []string{"a", "b", "c"}
+
 // newWorld makes a world with agents in zones and two balancers a zone.
-func newWorld(seed uint64, zones []string, servers, slots int, work time.Duration) *world {
+func newWorld(seed uint64) *world {
 	w := &world{
 		now: time.Unix(1_700_000_000, 0), rnd: rand.New(rand.NewPCG(seed, 1)),
 		agents: map[netip.AddrPort]*agent{}, callers: map[cropaque.Key]*attempt{},
@@ -159,7 +170,7 @@
 		},
 	}
 	for i := range servers {
-		w.addAgent(i, zones[i%len(zones)], slots, work)
+		w.addAgent(i, zones[i%len(zones)])
 	}
 	for i := range 2 * len(zones) {
 		w.addBalancer(i, zones[i%len(zones)])
@@ -171,7 +182,7 @@
 }
 
 // addAgent adds an agent with a backend server.
-func (w *world) addAgent(i int, zone string, slots int, work time.Duration) {
+func (w *world) addAgent(i int, zone string) {
 	a := &agent{w: w, zone: zone, addr: netip.MustParseAddrPort(fmt.Sprintf("10.1.0.%d:7000", i+1))}
 	a.server = &server{a: a, slots: slots, work: work}
 	a.server.start()
