Flows of agents that lose their membership or roll live on

Cause (found by reading): a balancer reset the flows of any agent that left the view. An agent that is cut off from control alone, or that restarts beside a living backend server, left it too; long flows would have broken. An agent that had said goodbye was never offered flows again if its return reached a balancer in the same delta as its leaving. Change: a member that is gone keeps its flows while it answers pings; a stopping agent announces that it drains, not that it is gone; a goodbye holds for a second.

--- a/internal/crlane/agent.go
+++ b/internal/crlane/agent.go
@@ -173,7 +173,9 @@
 	a.mu.Lock()
 	a.gate.Leave()
 	a.mu.Unlock()
-	a.announce.leave()
+	// The backend server may live on beside the next process of this agent, so
+	// the member stays; control ends its lease if there is none.
+	a.announce.drain()
 	end := time.Now().Add(a.Linger)
 	for time.Now().Before(end) {
 		a.mu.Lock()
--- a/internal/crlane/announcer.go
+++ b/internal/crlane/announcer.go
@@ -49,11 +49,17 @@
 }
 
 // leave announces that the member is gone.
-func (n *announcer) leave() {
+func (n *announcer) leave() { n.become(crwire.MemberGone) }
+
+// drain announces that the member takes no new flows.
+func (n *announcer) drain() { n.become(crwire.MemberDraining) }
+
+// become announces another state, unless the member has gone.
+func (n *announcer) become(state crwire.MemberState) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if n.member.Name != "" {
-		n.member.State, n.due = crwire.MemberGone, true
+	if n.member.Name != "" && n.member.State != crwire.MemberGone {
+		n.member.State, n.due = state, true
 		n.rouse()
 	}
 }
--- a/internal/crlane/balancer.go
+++ b/internal/crlane/balancer.go
@@ -55,6 +55,7 @@
 	// port is where callers take datagrams.
 	port    uint16
 	packets *prometheus.CounterVec
+	waits   prometheus.Histogram
 
 	mu       sync.Mutex
 	steering *cropaque.Steering
@@ -94,12 +95,18 @@
 		Namespace: "cardamomring", Subsystem: "opaque", Name: "datagrams_total",
 		Help: "Datagrams by where they came from.",
 	}, []string{"from"})
-	b.Registry.MustRegister(b.packets)
+	b.waits = prometheus.NewHistogram(prometheus.HistogramOpts{
+		Namespace: "cardamomring", Subsystem: "opaque", Name: "wait_seconds",
+		Help:    "Time from a flow's first packet to the agent that took it.",
+		Buckets: prometheus.ExponentialBuckets(0.0005, 2, 12),
+	})
+	b.Registry.MustRegister(b.packets, b.waits)
 	b.wake = make(chan struct{}, 1)
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.steering = &cropaque.Steering{
 		Zone: b.Zone, Send: b.send, Reset: b.reset, Random: rand.Float64, Fresh: func() bool { return b.fresh }, Note: b.journal.note,
+		Taken: func(d time.Duration) { b.waits.Observe(d.Seconds()) },
 	}
 	b.steering.Init()
 	b.follower = newFollower(b.Name, b.Client, b.Sources, b.Logger, b.took)
--- a/internal/cropaque/steering.go
+++ b/internal/cropaque/steering.go
@@ -2,7 +2,9 @@
 
 import (
 	"hash/maphash"
+	"maps"
 	"net/netip"
+	"slices"
 	"time"
 
 	"cardamomring.dev/internal/crwire"
@@ -35,6 +37,8 @@
 	// tableMax bounds the flows that a balancer remembers. Each takes about
 	// 500 bytes; a flow that was forgotten is sought again.
 	tableMax = 100_000
+	// leftFor is how long an agent that said that it stops gets no offers.
+	leftFor = time.Second
 	// pendingMax bounds the packets that a sought flow holds.
 	pendingMax = 4
 	// crossShare is the part of a route's target that another zone's agent
@@ -65,6 +69,9 @@
 	Fresh func() bool
 	// Note takes a decision for the log.
 	Note func(n Note)
+	// Taken takes the time from a flow's first packet to its owner; nil ignores
+	// it.
+	Taken func(d time.Duration)
 
 	view   *crwire.View
 	routes routes
@@ -94,7 +101,11 @@
 	// refused is when it last refused for a reason that lasts, and why.
 	refused time.Time
 	reason  Reason
-	leaving bool
+	// left is when it said that it stops. It may come back under its name.
+	left time.Time
+	// gone says that it is no member any more. Its flows may still live: a
+	// member that is cut off from control alone loses its membership too.
+	gone bool
 }
 
 // phase is what a flow waits for.
@@ -155,7 +166,8 @@
 		out[z] = true
 	}
 	known := map[netip.AddrPort]*peer{}
-	for _, m := range v.Members {
+	for _, num := range slices.Sorted(maps.Keys(v.Members)) {
+		m := v.Members[num]
 		addr, err := netip.ParseAddrPort(m.Datagram)
 		if err != nil {
 			s.Note(Note{Event: "agent " + m.Name + " has no address for datagrams", Revision: v.Revision})
@@ -166,16 +178,23 @@
 			p = &peer{addr: addr, heard: now}
 			s.Note(Note{Event: "agent of " + m.Service + " joins", Agent: addr, Revision: v.Revision})
 		}
-		p.member = m
+		p.member, p.gone = m, false
 		known[addr] = p
 		if m.State == crwire.MemberActive && !out[m.Zone] {
 			s.byService[m.Service] = append(s.byService[m.Service], p)
 		}
 	}
 	for addr, p := range s.peers {
-		if known[addr] != p {
+		if known[addr] == p {
+			continue
+		}
+		if !p.gone {
 			s.Note(Note{Event: "agent of " + p.member.Service + " is no member any more", Agent: addr, Revision: v.Revision})
 		}
+		p.gone = true
+		if known[addr] == nil && now.Sub(p.heard) < rememberFor {
+			known[addr] = p
+		}
 	}
 	s.peers = known
 }
@@ -374,7 +393,7 @@
 	var best *peer
 	var shortest time.Duration
 	for _, p := range peers {
-		if p.leaving || contains(f.asked, p) || s.passedOver(now, p, f.final) {
+		if now.Sub(p.left) < leftFor || contains(f.asked, p) || s.passedOver(now, p, f.final) {
 			continue
 		}
 		if d := s.expected(now, p, route); best == nil || d < shortest {
@@ -443,7 +462,7 @@
 	}
 	p.heard, p.asked = now, time.Time{}
 	if fr.Kind == FrameLeave {
-		p.leaving = true
+		p.left = now
 		return
 	}
 	p.load, p.reported, p.given = fr.Load, now, 0
@@ -475,6 +494,9 @@
 	}
 	f.owner, f.phase, f.first = p, phaseOwned, nil
 	f.asked, f.due = nil, time.Time{}
+	if s.Taken != nil {
+		s.Taken(now.Sub(f.came))
+	}
 	s.Note(Note{
 		Event: "flow is taken", Key: f.key, Agent: p.addr, Age: now.Sub(f.came), Load: p.load,
 		Revision: s.view.Revision, Routine: true,
@@ -695,31 +717,30 @@
 	}
 }
 
-// giveUp tells the caller of a flow whose agent is gone for certain, or has
-// been silent for so long that a caller that may repeat its request does
-// better to.
+// giveUp tells the caller of a flow whose agent has been silent for long, if
+// the agent is no member any more or the caller may repeat its request. The
+// caller of another one may still get its answer, and has no use for less.
 func (s *Steering) giveUp(now time.Time, key Key, f *flow) {
 	p := f.owner
+	if p.gone || s.peers[p.addr] != p {
+		s.ping(now, p)
+	}
+	if p.asked.IsZero() || now.Sub(p.asked) < silentAfter {
+		return
+	}
 	route := s.routes[key.Service]
-	gone := s.peers[p.addr] != p
-	silent := !p.asked.IsZero() && now.Sub(p.asked) >= silentAfter
-	repeatable := route != nil && route.Repeatable
-	if !gone && (!silent || !repeatable) {
+	if !p.gone && (route == nil || !route.Repeatable) {
 		return
 	}
-	s.Note(Note{Event: "caller is reset: its agent is " + silence(gone), Key: key, Agent: p.addr, Age: now.Sub(p.heard)})
+	event := "caller is reset: its agent is silent"
+	if p.gone {
+		event = "caller is reset: its agent is silent and no member any more"
+	}
+	s.Note(Note{Event: event, Key: key, Agent: p.addr, Age: now.Sub(p.heard)})
 	delete(s.flows, key)
 	s.Reset(key, f.acked)
 }
 
-// silence says in what way an agent is lost.
-func silence(gone bool) string {
-	if gone {
-		return "gone"
-	}
-	return "silent"
-}
-
 // Waiting says whether something is due soon.
 func (s *Steering) Waiting() bool { return len(s.due) > 0 }
 
