Place fewer flows at a backend server that fails while it looks well

Cause: one that ends requests quickly without an answer has free slots and a short pace, so placement by expected time sends it most flows. Weighed: reading the answers' status (not ours to read), counting resets alone (misses error pages). Taken: ends without an answer, and answers far below the usual size of their address. Change: the agent keeps the recent share of failures and tells it with its load; a balancer weighs it against the target; both fade, so that it is tried again after some two seconds.

--- a/internal/cropaque/callers_test.go
+++ b/internal/cropaque/callers_test.go
@@ -79,6 +79,8 @@
 		at.opened, at.isn, at.at = true, p.Seq, from
 		at.r.opened = true
 		w.ask(at, 200*time.Millisecond)
+	case p.Reset:
+		w.end(at)
 	case p.End:
 		at.ended = true
 		at.r.done = w.now
--- a/internal/cropaque/frame.go
+++ b/internal/cropaque/frame.go
@@ -21,6 +21,7 @@
 	fieldSlots
 	fieldPace
 	fieldData
+	fieldFailing
 )
 
 // errFrame says that bytes are no frame.
@@ -39,6 +40,7 @@
 	b = appendNumber(b, fieldQueued, uint64(f.Load.Queued))
 	b = appendNumber(b, fieldSlots, uint64(f.Load.Slots))
 	b = appendNumber(b, fieldPace, uint64(f.Load.Pace/time.Microsecond))
+	b = appendNumber(b, fieldFailing, uint64(f.Load.Failing))
 	if len(f.Data) > 0 {
 		b = protowire.AppendTag(b, fieldData, protowire.BytesType)
 		b = protowire.AppendBytes(b, f.Data)
@@ -97,6 +99,8 @@
 		f.Load.Queued = int(v)
 	case fieldSlots:
 		f.Load.Slots = int(v)
+	case fieldFailing:
+		f.Load.Failing = int(v)
 	case fieldPace:
 		f.Load.Pace = time.Duration(v) * time.Microsecond
 	}
--- a/internal/cropaque/gate.go
+++ b/internal/cropaque/gate.go
@@ -114,6 +114,7 @@
 	// whose request is under way.
 	opening, running int
 	pace             time.Duration
+	health           health
 	// handshake is the average time from the opening packet to the caller's
 	// acknowledgement.
 	handshake time.Duration
@@ -157,6 +158,9 @@
 	ended bool
 	// acked is the caller's last acknowledgement.
 	acked uint32
+	// size is what the backend server has answered to the request under way, in
+	// bytes.
+	size int
 	// priority is that of its route, 0 first.
 	priority int
 	// target is the latency that its callers expect.
@@ -308,12 +312,16 @@
 		}
 		delete(g.flows, key)
 	}
+	g.health = health{}
 	g.opening, g.running, g.waits, g.openings, g.queue = 0, 0, nil, nil, nil
 }
 
 // load returns what balancers are told.
 func (g *Gate) load() Load {
-	return Load{Busy: g.opening + g.running, Queued: len(g.queue), Slots: g.server.Slots, Pace: g.pace}
+	return Load{
+		Busy: g.opening + g.running, Queued: len(g.queue), Slots: g.server.Slots, Pace: g.pace,
+		Failing: g.health.failing(),
+	}
 }
 
 // Frame takes a frame of a balancer; p is the decoded packet in its data.
@@ -489,7 +497,7 @@
 		}
 	}
 	if p.Size > 0 && !f.ended && f.use != useRunning {
-		f.work = now
+		f.work, f.size = now, 0
 		g.setUse(f, useRunning)
 	}
 	if p.Reset {
@@ -545,16 +553,21 @@
 // follow notes what an answer says of a flow.
 func (g *Gate) follow(now time.Time, f *held, p Packet) {
 	f.last, f.foreign = now, false
+	f.size += p.Size
 	switch {
 	case p.Open && p.Ack:
 		f.isn, f.offered = p.Seq, true
 	case p.Reset:
+		if f.use == useRunning && !f.ended {
+			g.health.failed()
+		}
 		f.ended = true
 		g.setUse(f, useNone)
 	case p.End || p.Size > 0 && p.Size < fullSize:
 		// A packet that isn't full ends the answer.
 		if f.use == useRunning {
 			g.measure(now.Sub(f.work))
+			g.health.answered(f.key.Service, f.size)
 		}
 		g.setUse(f, useNone)
 	}
@@ -647,6 +660,7 @@
 			// It answers others: the packet was lost on the way.
 			continue
 		}
+		g.health.failed()
 		if g.silentAt.IsZero() {
 			g.silentAt = now
 			g.Note(Note{Event: "backend server is silent", Key: f.key, Age: now.Sub(g.heardAt), Load: g.load()})
@@ -688,9 +702,11 @@
 		case f.data != nil && now.Sub(f.came) > attemptWait:
 			g.drop(f)
 		case f.use == useRunning && quiet > busyMax:
+			g.health.failed()
 			g.setUse(f, useNone)
 		}
 	}
+	g.health.fade()
 	g.queue.clean(func(f *held) bool { return g.flows[f.key] == f })
 	if !g.silentAt.IsZero() && now.Sub(g.silentAt) > sweepEvery {
 		g.Doubt()
--- a/internal/cropaque/packet.go
+++ b/internal/cropaque/packet.go
@@ -93,6 +93,9 @@
 	Slots int
 	// Pace is the average time of a request.
 	Pace time.Duration
+	// Failing is the recent share of requests without a proper answer, in
+	// thousandths.
+	Failing int
 }
 
 // Frame is a message between a balancer and an agent.
--- a/internal/cropaque/steering.go
+++ b/internal/cropaque/steering.go
@@ -3,6 +3,7 @@
 import (
 	"hash/maphash"
 	"maps"
+	"math"
 	"net/netip"
 	"slices"
 	"time"
@@ -44,6 +45,9 @@
 	// crossShare is the part of a route's target that another zone's agent
 	// must be faster by to be preferred: bytes between zones are paid for.
 	crossShare = 0.25
+	// failWeight is how many times the target a certain failure weighs: four
+	// tries, more than callers have.
+	failWeight = 4
 	// staleLoad is how long a report of an agent's load is worth something.
 	staleLoad = 300 * time.Millisecond
 )
@@ -435,6 +439,13 @@
 	d := float64(pace) * (1 + over + s.Random()/2)
 	// Slots that are nearly all taken may be gone when the offer arrives.
 	d += float64(pace) * under / float64(slots) / 2
+	// A request that fails costs its caller another try, and one that may not
+	// be repeated is lost: that weighs as much as a few times the target.
+	// A report fades as the share does at the agent, so that it is tried again.
+	fade := math.Pow(fadeShare, float64(now.Sub(p.reported)/sweepEvery))
+	if failing := float64(p.load.Failing) / 1000 * fade; failing > failMin {
+		d += failWeight * failing * float64(route.Target.D())
+	}
 	if p.member.Zone != s.Zone {
 		d += crossShare * float64(route.Target.D())
 	}
--- a/internal/cropaque/world_load_test.go
+++ b/internal/cropaque/world_load_test.go
@@ -166,3 +166,26 @@
 	atLeast(t, w, "in time at 1.4 times the capacity", w.share(4*time.Second, 5*time.Second, 2*aim), 0.55)
 	atLeast(t, w, "in time after it", w.share(5300*time.Millisecond, 6*time.Second, aim), 0.95)
 }
+
+// TestFailingServer: a backend server that ends requests at once without an
+// answer, though it looks idle and healthy, soon gets few of them; when it is
+// well again it gets its share.
+func TestFailingServer(t *testing.T) {
+	w := newWorld(8)
+	w.load(calmLoad, 8*time.Second, false)
+	w.run(2 * time.Second)
+	var bad *server
+	for _, a := range w.agents {
+		bad = a.server
+		break
+	}
+	bad.failing = 0.8
+	w.run(3 * time.Second)
+	atLeast(t, w, "answered while it fails", w.share(2500*time.Millisecond, 4500*time.Millisecond, w.deadline), 0.97)
+	bad.failing = 0
+	before := len(bad.flows)
+	w.run(5 * time.Second)
+	if got := len(bad.flows) - before; got < 100 {
+		t.Errorf("%d flows in 3 s after it is well again, want at least 100", got)
+	}
+}
--- a/internal/cropaque/world_test.go
+++ b/internal/cropaque/world_test.go
@@ -100,6 +100,8 @@
 	slots int
 	work  time.Duration
 	down  bool
+	// failing is the share of requests that it ends at once without an answer.
+	failing float64
 	// stalled holds back every answer until it is over.
 	stalled time.Time
 	flows   map[cropaque.Key]*served
@@ -418,6 +420,11 @@
 		s.send(cropaque.Packet{From: key.Service, To: key.Caller, Open: true, Ack: true, Seq: f.isn})
 	case p.Size > 0 && !f.started:
 		f.started = true
+		if w.rnd.Float64() < s.failing {
+			f.over = true
+			s.send(cropaque.Packet{From: key.Service, To: key.Caller, Reset: true, Seq: f.isn + 1})
+			return
+		}
 		s.queue = append(s.queue, f)
 		s.pump()
 	case p.Size > 0 && f.over:
