--- a/internal/cropaque/steering.go
+++ b/internal/cropaque/steering.go
@@ -17,14 +17,9 @@
 	// flow is offered elsewhere: ten ways there and back between zones of one
 	// region.
 	answerWait = 40 * time.Millisecond
-	// holdShare is the part of the time that a caller waits for which a new flow
-	// that nobody can take now is held before its caller is told, and holdMax
-	// bounds it: a caller that is told returns at once and has few tries.
-	holdShare = 0.25
-	holdMax   = 300 * time.Millisecond
-	// roundMax is how many agents are asked in a round. When that many of the
-	// least loaded ones are full, the others are as good as full.
-	roundMax = 8
+	// holdWait is how long a new flow that nobody can take now is held before
+	// its caller is told: callers return within their first retry.
+	holdWait = 250 * time.Millisecond
 	// holdPause is the time between two rounds of offers meanwhile.
 	holdPause = 30 * time.Millisecond
 	// seekTries is how often an agent that doesn't answer is asked for a flow.
@@ -339,7 +334,7 @@
 // place offers a new flow to the agent that is expected to answer first among
 // those that were not asked yet in this round.
 func (s *Steering) place(now time.Time, f *flow, route *crdoc.Route) {
-	if p := s.best(now, f, route); p != nil && len(f.asked) < roundMax {
+	if p := s.best(now, f, route); p != nil {
 		f.asked = append(f.asked, p)
 		s.offer(now, f, p)
 		return
@@ -353,19 +348,16 @@
 	s.hold(now, f, route)
 }
 
-// hold keeps a flow that nobody takes for a moment, then tells the caller. It
-// answers the load pattern after a loss: everybody who waited comes at once,
-// what was lost is made up for within a second or two, and callers that are
-// turned away at once use up their tries before that.
+// hold keeps a flow that nobody takes for a moment, then tells the caller. A
+// backend server that is full is full for longer than that.
 func (s *Steering) hold(now time.Time, f *flow, route *crdoc.Route) {
-	if now.Sub(f.came) >= min(holdMax, time.Duration(holdShare*float64(route.Timeout.D()))) {
+	if f.final || now.Sub(f.came) >= min(holdWait, route.Timeout.D()/4) {
 		s.Note(Note{Event: "caller is reset: no agent takes the flow", Key: f.key, Age: now.Sub(f.came), Revision: s.view.Revision})
 		delete(s.flows, f.key)
 		s.Reset(f.key, 0)
 		return
 	}
-	// What was full a moment ago may have a place in its queue now.
-	f.asked, f.full, f.owner = f.asked[:0], false, nil
+	f.asked, f.final, f.full, f.owner = f.asked[:0], false, false, nil
 	s.wait(now, f, holdPause)
 }
 
