Feed changes of the catalog by route; ask at most eight agents a round

Cause: each change of one route sent the whole catalog to every daemon, and a new flow that met full agents asked all of its service. Change: the delta of a catalog holds the routes that changed; deltas merge. A round of offers ends after the eight agents that are expected to answer first. Tests: TestCatalogChanges (any two changes in one lead where both lead), TestCatalogChangeIsSmall.

--- a/internal/crfeed/apply.go
+++ b/internal/crfeed/apply.go
@@ -20,7 +20,7 @@
 	}
 	next := &crwire.View{Revision: d.To, Services: v.Services, Out: v.Out, Members: v.Members, Catalog: v.Catalog}
 	if d.Catalog != nil {
-		next.Catalog = d.Catalog
+		next.Catalog = v.Catalog.Apply(d.Catalog)
 	}
 	if len(d.Services) > 0 {
 		next.Services = maps.Clone(v.Services)
--- a/internal/crfeed/merge.go
+++ b/internal/crfeed/merge.go
@@ -1,6 +1,9 @@
 package crfeed
 
-import "cardamomring.dev/internal/crwire"
+import (
+	"cardamomring.dev/internal/crwire"
+	"cardamomring.dev/pkg/crdoc"
+)
 
 // Merge returns one delta that does what consecutive deltas do in order. It
 // needs at least one delta.
@@ -17,7 +20,7 @@
 			put(&out.Members, members, m.Num, m)
 		}
 		if d.Catalog != nil {
-			out.Catalog = d.Catalog
+			out.Catalog = after(out.Catalog, d.Catalog)
 		}
 		if d.Zoned {
 			out.Out, out.Zoned = d.Out, true
@@ -26,6 +29,15 @@
 	return out
 }
 
+// after returns what two changes of the catalog do in turn; the first may be
+// nil.
+func after(first, next *crdoc.CatalogChange) *crdoc.CatalogChange {
+	if first == nil {
+		return next
+	}
+	return first.Then(next)
+}
+
 // put sets the item of a key in a list; places holds where each key is.
 func put[K comparable, V any](list *[]V, places map[K]int, key K, v V) {
 	if i, ok := places[key]; ok {
--- a/internal/cropaque/steering.go
+++ b/internal/cropaque/steering.go
@@ -20,6 +20,10 @@
 	// holdWait is how long a new flow that nobody can take now is held before
 	// its caller is told: callers return within their first retry.
 	holdWait = 250 * time.Millisecond
+	// roundMax is how many agents are asked in a round. When that many of those
+	// that are expected to answer first are full, the others are as good as
+	// full, and asking all of a large service costs more than a lost flow.
+	roundMax = 8
 	// holdPause is the time between two rounds of offers meanwhile.
 	holdPause = 30 * time.Millisecond
 	// seekTries is how often an agent that doesn't answer is asked for a flow.
@@ -334,7 +338,7 @@
 // place offers a new flow to the agent that is expected to answer first among
 // those that were not asked yet in this round.
 func (s *Steering) place(now time.Time, f *flow, route *crdoc.Route) {
-	if p := s.best(now, f, route); p != nil {
+	if p := s.best(now, f, route); p != nil && len(f.asked) < roundMax {
 		f.asked = append(f.asked, p)
 		s.offer(now, f, p)
 		return
--- a/internal/crstate/catalog.go
+++ b/internal/crstate/catalog.go
@@ -21,9 +21,9 @@
 		return nil, crwire.Result{Code: crwire.CodeOK, Version: current, Text: "a version as high is in force"}
 	}
 	line.To = c.Catalog.Version
-	s.Catalog, s.Source = c.Catalog, c.Source
 	delta := s.advance()
-	delta.Catalog = c.Catalog
+	delta.Catalog = s.Catalog.Diff(c.Catalog)
+	s.Catalog, s.Source = c.Catalog, c.Source
 	return delta, crwire.Result{Code: crwire.CodeOK, Version: c.Catalog.Version}
 }
 
--- a/internal/crwire/view.go
+++ b/internal/crwire/view.go
@@ -29,8 +29,8 @@
 	Zoned bool     `json:"zoned,omitempty"`
 	// Members are agents that were set; a gone one is removed.
 	Members []Member `json:"members,omitempty"`
-	// Catalog replaces the catalog; nil leaves it.
-	Catalog *crdoc.Catalog `json:"catalog,omitempty"`
+	// Catalog changes the catalog; nil leaves it.
+	Catalog *crdoc.CatalogChange `json:"catalog,omitempty"`
 }
 
 // Feed is the answer to GET /feed?after=REV&wait=DURATION.
