Compress large changes on their way and in the log; judge answer sizes by their spread

Configurations of 100 KB and more went as JSON with two layers of base64 to the leader and to each follower, and again for each lost answer. Ruled out: the feed (route by route since the last commit, no change). Change: changes and entries over 2 KB are compressed; a catalog that is overtaken already is acknowledged by any instance from what it has applied; an odd answer is 3.1 deviations of the logarithm below the usual size.

--- a/internal/crcontrol/change.go
+++ b/internal/crcontrol/change.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -32,8 +33,9 @@
 func (c *Control) serveChange(w http.ResponseWriter, r *http.Request) {
 	var change crwire.Change
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, bodyMax))
-	if err == nil {
-		err = json.Unmarshal(body, &change)
+	plain, unpackErr := unpack(body)
+	if err = errors.Join(err, unpackErr); err == nil {
+		err = json.Unmarshal(plain, &change)
 	}
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
--- a/internal/crcontrol/machine.go
+++ b/internal/crcontrol/machine.go
@@ -12,8 +12,8 @@
 
 // apply carries out a committed entry; it runs in the replica's goroutine.
 func (c *Control) apply(_ uint64, data []byte) any {
-	var e crstate.Entry
-	if err := json.Unmarshal(data, &e); err != nil {
+	e, err := decode(data)
+	if err != nil {
 		// Every instance reads the same bytes and skips them alike.
 		c.metrics.skipped.Inc()
 		return crstate.Reply{}
@@ -30,6 +30,16 @@
 	return reply
 }
 
+// decode reads an entry of the log.
+func decode(data []byte) (crstate.Entry, error) {
+	var e crstate.Entry
+	plain, err := unpack(data)
+	if err == nil {
+		err = json.Unmarshal(plain, &e)
+	}
+	return e, err
+}
+
 // preview makes the early view of what is on disk.
 func (c *Control) preview() {
 	snap, entries := c.replica.OnDisk()
@@ -43,8 +53,8 @@
 		state = restored
 	}
 	for _, data := range entries {
-		var e crstate.Entry
-		if err := json.Unmarshal(data, &e); err != nil {
+		e, err := decode(data)
+		if err != nil {
 			// apply skips and counts it as well, once it is committed.
 			continue
 		}
@@ -91,6 +101,9 @@
 func (c *Control) commit(ctx context.Context, e crstate.Entry) (crstate.Reply, error) {
 	e.Time = time.Now().UTC()
 	data, err := json.Marshal(e)
+	if err == nil {
+		data, err = pack(data)
+	}
 	if err != nil {
 		return crstate.Reply{}, fmt.Errorf("encode an entry: %w", err)
 	}
--- a/internal/crcontrol/read.go
+++ b/internal/crcontrol/read.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"net/http"
 
@@ -26,6 +25,9 @@
 // Submit carries out a change here or at the leader. A change that is passed
 // on more than once is refused, so that it can't loop.
 func (c *Control) Submit(ctx context.Context, change *crwire.Change) crwire.Result {
+	if done, ok := c.overtaken(change); ok {
+		return done
+	}
 	status := c.awaitLeader(ctx)
 	if status.Leading {
 		return c.change(ctx, change)
@@ -38,10 +40,29 @@
 	return Submit(ctx, c.client, status.Address, change)
 }
 
+// overtaken answers a valid catalog whose version, or a higher one, is committed
+// already. Any instance may: what it has applied is committed. Operators send
+// the same again after each lost answer.
+func (c *Control) overtaken(change *crwire.Change) (crwire.Result, bool) {
+	if change.Kind != crwire.KindCatalog || len(c.check(change)) > 0 {
+		return crwire.Result{}, false
+	}
+	view := c.source.View()
+	if view.Catalog == nil || change.Catalog.Version > view.Catalog.Version {
+		return crwire.Result{}, false
+	}
+	return crwire.Result{
+		Code: crwire.CodeOK, Revision: view.Revision, Version: view.Catalog.Version, Text: "a version as high is in force",
+	}, true
+}
+
 // Submit sends a change to a control instance.
 func Submit(ctx context.Context, client *crnet.Client, addr string, change *crwire.Change) crwire.Result {
 	var result crwire.Result
 	body, err := json.Marshal(change)
+	if err == nil {
+		body, err = pack(body)
+	}
 	if err == nil {
 		err = post(ctx, client, addr, PathChange, change.Author, body, &result)
 	}
@@ -102,7 +123,7 @@
 // serveCatalog answers with the catalog when this instance leads.
 func (c *Control) serveCatalog(w http.ResponseWriter, r *http.Request) {
 	if status := c.replica.Status(); !status.Leading {
-		c.answer(w, nil, errors.Join(&crreplica.NotLeaderError{Leader: status.Address}))
+		c.answer(w, nil, &crreplica.NotLeaderError{Leader: status.Address})
 		return
 	}
 	held, err := c.Catalog(r.Context())
--- a/internal/cropaque/health.go
+++ b/internal/cropaque/health.go
@@ -1,6 +1,9 @@
 package cropaque
 
-import "net/netip"
+import (
+	"math"
+	"net/netip"
+)
 
 const (
 	// failShare is the weight of one request in the share that fails: four
@@ -11,10 +14,12 @@
 	fadeShare = 0.78
 	// failMin is the share that a healthy one may show for its smallest answers.
 	failMin = 0.1
-	// oddShare is the part of the usual size below which an answer counts as a
-	// failure: an error page is much smaller than an answer, and one answer in
-	// forty is smaller than that when sizes spread by 0.6.
-	oddShare = 0.25
+	// oddSpread is how many standard deviations of the logarithm of its size an
+	// answer must be below the usual one to count as a failure: an error page is
+	// much smaller than an answer, and one answer in a thousand is as small.
+	oddSpread = 3.1
+	// spreadMin is the least deviation, for answers that are all alike.
+	spreadMin = 0.15
 	// usualMin is how many answers make a usual size.
 	usualMin = 20
 	// usualWeight is the weight of a new answer in the usual size.
@@ -31,10 +36,11 @@
 	sizes map[netip.AddrPort]*usual
 }
 
-// usual is the average size of answers.
+// usual is the average of the logarithm of the size of answers, and its
+// variance.
 type usual struct {
-	size float64
-	n    int
+	mean, variance float64
+	n              int
 }
 
 // failed counts a request without an answer.
@@ -50,12 +56,15 @@
 		u = &usual{}
 		h.sizes[service] = u
 	}
-	if u.n >= usualMin && float64(size) < oddShare*u.size {
+	off := math.Log(float64(size+1)) - u.mean
+	if u.n >= usualMin && off < -oddSpread*max(spreadMin, math.Sqrt(u.variance)) {
 		h.failed()
 		return
 	}
 	u.n++
-	u.size += max(usualWeight, 1/float64(u.n)) * (float64(size) - u.size)
+	weight := max(usualWeight, 1/float64(u.n))
+	u.variance = (1 - weight) * (u.variance + weight*off*off)
+	u.mean += weight * off
 	h.share -= failShare * h.share
 }
 
