--- a/cmd/crnode/main.go
+++ b/cmd/crnode/main.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/alexflint/go-arg"
@@ -25,6 +26,18 @@
 	return "Runs one role; " + platform.Variable + " names its settings file."
 }
 
+// memoryShare is the part of the process's memory limit that the garbage
+// collector works towards; the rest is for stacks, sockets and bursts.
+const memoryShare = 0.6
+
+// limitMemory makes the garbage collector work harder before the process
+// reaches its memory limit.
+func limitMemory(megabytes int) {
+	if megabytes > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(megabytes) * (1 << 20)))
+	}
+}
+
 func main() {
 	var a args
 	arg.MustParse(&a)
@@ -35,6 +48,7 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
+	limitMemory(settings.Limits.MemoryMB)
 	p, err := newProcess(a.Role, settings)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
--- a/internal/crquorum/heard.go
+++ b/internal/crquorum/heard.go
@@ -18,3 +18,17 @@
 func (n *Node) Held() (Snapshot, []Entry) {
 	return n.log.snap, n.log.between(n.log.snap.Index, n.log.last())
 }
+
+// Tail returns how many of the last applied entries, at most count, hold at
+// most size bytes together.
+func (n *Node) Tail(count uint64, size int) uint64 {
+	kept := uint64(0)
+	for index := n.applied; index > n.log.base && kept < count; index-- {
+		size -= len(n.log.entries[index-n.log.base-1].Data)
+		if size < 0 {
+			break
+		}
+		kept++
+	}
+	return kept
+}
--- a/internal/crreplica/core.go
+++ b/internal/crreplica/core.go
@@ -11,6 +11,10 @@
 // followers that are a little behind.
 const keepShare = 4
 
+// keepMax bounds the same part in bytes: a few large entries fill the memory of
+// a small instance otherwise.
+const keepMax = 1 << 20
+
 // grownMax is how many bytes of entries make a snapshot due. With the snapshot
 // and the copy that replaces it, the log stays under half of a disk of 64 MB.
 const grownMax = 4 << 20
@@ -96,5 +100,5 @@
 		return nil
 	}
 	c.grown = 0
-	return c.Store.Replace(c.Node.Compact(c.Snapshot(), c.Every/keepShare))
+	return c.Store.Replace(c.Node.Compact(c.Snapshot(), c.Node.Tail(c.Every/keepShare, keepMax)))
 }
