--- a/internal/cropaque/steering.go
+++ b/internal/cropaque/steering.go
@@ -20,10 +20,12 @@
 	// holdWait is how long a new flow that nobody can take now is held before
 	// its caller is told: callers return within their first retry.
 	holdWait = 250 * time.Millisecond
-	// roundMax is how many agents are asked in a round. When that many of those
+	// firstMax and finalMax are how many agents are asked in the first round of
+	// offers and in the one that may wait at an agent. When that many of those
 	// that are expected to answer first are full, the others are as good as
-	// full, and asking all of a large service costs more than a lost flow.
-	roundMax = 8
+	// full; asking all of a large service while callers return fills the links
+	// of small balancers.
+	firstMax, finalMax = 4, 2
 	// holdPause is the time between two rounds of offers meanwhile.
 	holdPause = 30 * time.Millisecond
 	// seekTries is how often an agent that doesn't answer is asked for a flow.
@@ -338,7 +340,11 @@
 // place offers a new flow to the agent that is expected to answer first among
 // those that were not asked yet in this round.
 func (s *Steering) place(now time.Time, f *flow, route *crdoc.Route) {
-	if p := s.best(now, f, route); p != nil && len(f.asked) < roundMax {
+	bound := firstMax
+	if f.final {
+		bound = finalMax
+	}
+	if p := s.best(now, f, route); p != nil && len(f.asked) < bound {
 		f.asked = append(f.asked, p)
 		s.offer(now, f, p)
 		return
