--- a/internal/cropaque/health.go
+++ b/internal/cropaque/health.go
@@ -10,8 +10,8 @@
 	// failures in a row bring it over a half.
 	failShare = 0.2
 	// fadeShare is what remains of the share after each sweep: a backend server
-	// that got no requests because all failed is tried again after 2.3 s.
-	fadeShare = 0.78
+	// that got no requests because all failed is tried again after 1.6 s.
+	fadeShare = 0.7
 	// failMin is the share that a healthy one may show for its smallest answers.
 	failMin = 0.1
 	// oddSpread is how many standard deviations of the logarithm of its size an
--- a/internal/cropaque/steering_test.go
+++ b/internal/cropaque/steering_test.go
@@ -129,3 +129,33 @@
 		t.Errorf("resets after each packet (-want +got):\n%s", diff)
 	}
 }
+
+// TestOffersAreBounded replays callers that return to a large service whose
+// agents are all full: a flow costs six offers at most, not two for each agent.
+func TestOffersAreBounded(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	offers, resets := 0, 0
+	var s *cropaque.Steering
+	s = &cropaque.Steering{
+		Zone: "a", Random: func() float64 { return 0 }, Fresh: func() bool { return true },
+		Note: func(cropaque.Note) {}, Reset: func(cropaque.Key, uint32) { resets++ },
+		Send: func(to netip.AddrPort, f *cropaque.Frame) {
+			offers++
+			s.Frame(now, to, &cropaque.Frame{
+				Kind: cropaque.FrameRefused, Key: f.Key, Reason: cropaque.ReasonFull, Load: cropaque.Load{Busy: 3, Slots: 3},
+			})
+		},
+	}
+	s.Init()
+	v := newWorld(1).view
+	v.Members = map[uint32]crwire.Member{}
+	for i := range uint32(45) {
+		addr := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, 1, byte(i)}), 7000).String()
+		v.Members[i] = crwire.Member{Num: i, Name: addr, Service: "ledger", Zone: "a", Datagram: addr}
+	}
+	s.SetView(now, v)
+	s.Packet(now, cropaque.Packet{From: netip.MustParseAddrPort("100.64.0.1:5000"), To: entrance, Open: true}, []byte{1})
+	if diff := cmp.Diff([]int{6, 1}, []int{offers, resets}); diff != "" {
+		t.Errorf("offers and resets (-want +got):\n%s", diff)
+	}
+}
--- a/internal/crquorum/node_test.go
+++ b/internal/crquorum/node_test.go
@@ -260,3 +260,23 @@
 		}
 	})
 }
+
+// TestNodeTail: what stays in the log after a snapshot is bounded by count and
+// by bytes, so that a few large entries don't fill the memory.
+func TestNodeTail(t *testing.T) {
+	n := newNode(t)
+	elect(t, n)
+	for range 10 {
+		if _, _, err := n.Propose(make([]byte, 100)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	n.Take()
+	n.Synced()
+	step(t, n, from(n, 2, crquorum.Message{Kind: crquorum.KindAppended, Index: n.Status().Last}))
+	n.Take()
+	got := []uint64{n.Tail(100, 350), n.Tail(2, 1<<20), n.Tail(100, 50)}
+	if diff := cmp.Diff([]uint64{3, 2, 0}, got); diff != "" {
+		t.Errorf("entries (-want +got):\n%s", diff)
+	}
+}
