--- a/internal/crcontrol/admission_test.go
+++ b/internal/crcontrol/admission_test.go
@@ -38,7 +38,9 @@
 	if err != nil {
 		tb.Fatal(err)
 	}
-	defer l.Close()
+	if err := l.Close(); err != nil {
+		tb.Fatal(err)
+	}
 	return l.Addr().String()
 }
 
