One name for the header of forwarded calls, one counter of datagrams

Cause: read again as a newcomer: the header stood as two constants with one value, and both roles built the same counter. Change: one constant and newDatagrams. Behaviour is as before.

--- a/internal/crcontrol/admission.go
+++ b/internal/crcontrol/admission.go
@@ -105,7 +105,7 @@
 	case status.Leading:
 		out, err := c.admit(r.Context(), in)
 		c.answer(w, out, err)
-	case status.Address == "" || status.Address == in.Address || r.Header.Get(headerFinal) != "":
+	case status.Address == "" || status.Address == in.Address || r.Header.Get(headerForwarded) != "":
 		c.answer(w, nil, &crreplica.NotLeaderError{Leader: status.Address})
 	default:
 		ctx, cancel := context.WithTimeout(r.Context(), admitTimeout)
--- a/internal/crcontrol/read.go
+++ b/internal/crcontrol/read.go
@@ -18,8 +18,6 @@
 	PathChange = "/change"
 	// PathCatalog answers with the catalog in force.
 	PathCatalog = "/catalog"
-	// headerFinal marks a call that isn't passed on again.
-	headerFinal = "Cr-Forwarded"
 )
 
 // Submit carries out a change here or at the leader. A change that is passed
@@ -79,7 +77,7 @@
 		return fmt.Errorf("request to %s: %w", addr, err)
 	}
 	r.Header.Set("Content-Type", "application/json")
-	r.Header.Set(headerFinal, "1")
+	r.Header.Set(headerForwarded, "1")
 	r.Header.Set(headerOperator, author)
 	resp, err := client.Do(r)
 	if err != nil {
--- a/internal/crlane/agent.go
+++ b/internal/crlane/agent.go
@@ -93,10 +93,7 @@
 // open makes the agent's parts and opens its sockets.
 func (a *Agent) open() error {
 	a.journal = newJournal(a.Logger, a.Registry)
-	a.packets = prometheus.NewCounterVec(prometheus.CounterOpts{
-		Namespace: "cardamomring", Subsystem: "opaque", Name: "datagrams_total",
-		Help: "Datagrams by where they came from.",
-	}, []string{"from"})
+	a.packets = newDatagrams()
 	a.Registry.MustRegister(a.packets)
 	backend, err := netip.ParseAddrPort(a.Backend)
 	if err != nil {
--- a/internal/crlane/balancer.go
+++ b/internal/crlane/balancer.go
@@ -91,10 +91,7 @@
 // open makes the balancer's parts and opens its sockets.
 func (b *Balancer) open() error {
 	b.journal = newJournal(b.Logger, b.Registry)
-	b.packets = prometheus.NewCounterVec(prometheus.CounterOpts{
-		Namespace: "cardamomring", Subsystem: "opaque", Name: "datagrams_total",
-		Help: "Datagrams by where they came from.",
-	}, []string{"from"})
+	b.packets = newDatagrams()
 	b.waits = prometheus.NewHistogram(prometheus.HistogramOpts{
 		Namespace: "cardamomring", Subsystem: "opaque", Name: "wait_seconds",
 		Help:    "Time from a flow's first packet to the agent that took it.",
--- a/internal/crlane/codec.go
+++ b/internal/crlane/codec.go
@@ -2,7 +2,11 @@
 // feed and the announcements around the decisions of cropaque.
 package crlane
 
-import "cardamomring.dev/internal/cropaque"
+import (
+	"github.com/prometheus/client_golang/prometheus"
+
+	"cardamomring.dev/internal/cropaque"
+)
 
 // Codec reads and writes the headers of the packets that callers and backend
 // servers exchange. The roles know no format of their own.
@@ -16,3 +20,11 @@
 	// another one takes.
 	Plain func(data []byte) []byte
 }
+
+// newDatagrams returns the counter of datagrams that both roles have.
+func newDatagrams() *prometheus.CounterVec {
+	return prometheus.NewCounterVec(prometheus.CounterOpts{
+		Namespace: "cardamomring", Subsystem: "opaque", Name: "datagrams_total",
+		Help: "Datagrams by where they came from.",
+	}, []string{"from"})
+}
