Waiting flows: in time before late, bound by the caller's time; hold flows before the first view

Cause: after a loss of everything, and in bursts beyond the capacity, more flows wait than slots serve. A balancer without a view dropped opening packets; callers repeat them after 200 and 600 ms.

Change: an agent lets a flow wait for half of the time that its caller has left; flows that can still be answered within the target go first, the oldest first until more wait than that serves, then the newest; late ones follow. An opening packet's copy number tells how long its caller has waited, and offers carry that. Reports count only the flows that a new one waits for. A balancer holds flows until its first view.

--- a/internal/cropaque/callers_test.go
+++ b/internal/cropaque/callers_test.go
@@ -32,7 +32,7 @@
 	for _, pause := range []time.Duration{0, 200 * time.Millisecond, 600 * time.Millisecond} {
 		w.after(pause, func() {
 			if !at.opened && !at.ended && w.waits(r) {
-				w.toBalancer(at, cropaque.Packet{From: key.Caller, To: key.Service, Open: true, Seq: 7})
+				w.toBalancer(at, cropaque.Packet{From: key.Caller, To: key.Service, Open: true, Seq: 7, Age: pause})
 			}
 		})
 	}
@@ -55,7 +55,7 @@
 	w.after(callerDelay, func() {
 		var up []*balancer
 		for _, b := range w.balancers {
-			if !b.down {
+			if !b.down || w.blind {
 				up = append(up, b)
 			}
 		}
@@ -63,8 +63,9 @@
 		for _, c := range at.key.Caller.Addr().As4() {
 			h = h*31 + int(c)
 		}
-		b := up[h%len(up)]
-		b.steering.Packet(w.now, p, data)
+		if b := up[h%len(up)]; !b.down {
+			b.steering.Packet(w.now, p, data)
+		}
 	})
 }
 
--- a/internal/cropaque/frame.go
+++ b/internal/cropaque/frame.go
@@ -22,6 +22,7 @@
 	fieldPace
 	fieldData
 	fieldFailing
+	fieldAge
 )
 
 // errFrame says that bytes are no frame.
@@ -41,6 +42,7 @@
 	b = appendNumber(b, fieldSlots, uint64(f.Load.Slots))
 	b = appendNumber(b, fieldPace, uint64(f.Load.Pace/time.Microsecond))
 	b = appendNumber(b, fieldFailing, uint64(f.Load.Failing))
+	b = appendNumber(b, fieldAge, uint64(f.Age/time.Microsecond))
 	if len(f.Data) > 0 {
 		b = protowire.AppendTag(b, fieldData, protowire.BytesType)
 		b = protowire.AppendBytes(b, f.Data)
@@ -101,6 +103,8 @@
 		f.Load.Slots = int(v)
 	case fieldFailing:
 		f.Load.Failing = int(v)
+	case fieldAge:
+		f.Age = time.Duration(v) * time.Microsecond
 	case fieldPace:
 		f.Load.Pace = time.Duration(v) * time.Microsecond
 	}
--- a/internal/cropaque/gate.go
+++ b/internal/cropaque/gate.go
@@ -21,6 +21,9 @@
 	// spareShare is the part of the slots that may be handed out beyond them,
 	// so that slots aren't idle during the handshakes of the next requests.
 	spareShare = 0.5
+	// waitShare is the part of a caller's time that it may be expected to wait
+	// for a slot.
+	waitShare = 0.5
 	// attemptWait is how long a caller waits for its flow to open.
 	attemptWait = 1400 * time.Millisecond
 	// flowsMax bounds the flows that an agent remembers. Each takes about
@@ -163,12 +166,14 @@
 	size int
 	// priority is that of its route, 0 first.
 	priority int
-	// target is the latency that its callers expect.
-	target time.Duration
+	// target is the latency that its callers expect, timeout how long they
+	// wait at most.
+	target, timeout time.Duration
 	// data is the opening packet while it waits here.
 	data []byte
-	// came, handed and last are the times of the offer, of handing it over and
-	// of the last packet; work is when the request under way began.
+	// came, handed and last are the times of the caller's first packet, of
+	// handing it over and of the last packet; work is when the request under
+	// way began.
 	came, handed, last, work time.Time
 }
 
@@ -256,7 +261,7 @@
 	g.coldTill = now.Add(s.Cold)
 	if changed {
 		g.findOpaque()
-		g.Note(Note{Event: serverEvent(s), Load: g.load()})
+		g.Note(Note{Event: serverEvent(s), Load: g.load(now)})
 	}
 	return changed
 }
@@ -308,7 +313,7 @@
 			g.Note(Note{Event: "caller is reset: its backend server is gone", Key: key, Age: now.Sub(f.last)})
 			g.Reset(key, f.acked)
 		default:
-			g.refuse(f.from, key, ReasonGone)
+			g.refuse(now, f.from, key, ReasonGone)
 		}
 		delete(g.flows, key)
 	}
@@ -317,9 +322,9 @@
 }
 
 // load returns what balancers are told.
-func (g *Gate) load() Load {
+func (g *Gate) load(now time.Time) Load {
 	return Load{
-		Busy: g.opening + g.running, Queued: len(g.queue), Slots: g.server.Slots, Pace: g.pace,
+		Busy: g.opening + g.running, Queued: g.queue.onTime(g.done(now)), Slots: g.server.Slots, Pace: g.pace,
 		Failing: g.health.failing(),
 	}
 }
@@ -334,7 +339,7 @@
 	case FrameSeek:
 		g.seek(now, from, f.Key)
 	case FramePing:
-		g.Reply(from, &Frame{Kind: FramePong, Load: g.load()})
+		g.Reply(from, &Frame{Kind: FramePong, Load: g.load(now)})
 	}
 }
 
@@ -346,27 +351,27 @@
 		return
 	}
 	route := g.routes[key.Service]
-	reason := g.refusal(now, route)
-	if reason == ReasonNone && !g.free() {
-		reason = g.overflow(f.Final, route)
-	}
-	if reason != ReasonNone {
-		g.refuse(from, key, reason)
+	if reason := g.refusal(now, route); reason != ReasonNone {
+		g.refuse(now, from, key, reason)
 		return
 	}
 	next := &held{
 		key: key, from: from, start: p.Seq, priority: route.Priority, target: route.Target.D(),
-		came: now, last: now,
+		timeout: route.Timeout.D(), came: now.Add(-f.Age), last: now,
+	}
+	if !g.free() && (!f.Final || !g.mayWait(now, next)) {
+		g.refuse(now, from, key, ReasonFull)
+		return
 	}
 	g.remember(next)
-	g.Reply(from, &Frame{Kind: FrameTaken, Key: key, Load: g.load()})
+	g.Reply(from, &Frame{Kind: FrameTaken, Key: key, Load: g.load(now)})
 	if g.free() {
 		g.hand(now, next, f.Data)
 		return
 	}
 	next.data = append([]byte(nil), f.Data...)
 	g.queue.push(next)
-	g.Note(Note{Event: "flow waits for a slot", Key: key, Load: g.load(), Revision: g.view.Revision})
+	g.Note(Note{Event: "flow waits for a slot", Key: key, Load: g.load(now), Revision: g.view.Revision})
 }
 
 // again handles a copy of an opening packet that was taken before.
@@ -375,7 +380,7 @@
 	if f.data == nil {
 		g.ToServer(data)
 	}
-	g.Reply(from, &Frame{Kind: FrameTaken, Key: f.key, Load: g.load()})
+	g.Reply(from, &Frame{Kind: FrameTaken, Key: f.key, Load: g.load(now)})
 }
 
 // refusal says why no new flow can be taken now, whatever the load.
@@ -409,21 +414,25 @@
 	return float64(len(g.recent)) < g.opaque.ColdRate*g.ColdFactor+float64(g.ColdExtra)-1
 }
 
-// overflow decides about a flow that finds no free slot. Only the last agent
-// that a balancer asks lets it wait, and only as long as it can still be
-// answered within half of its target.
-func (g *Gate) overflow(final bool, route *crdoc.Route) Reason {
-	wait := g.pace * time.Duration(len(g.queue)+1) / time.Duration(max(1, g.server.Slots))
-	if !final || wait > max(route.Target.D()/2, g.pace) {
-		return ReasonFull
-	}
-	return ReasonNone
+// mayWait says whether a flow that finds no free slot may wait: those that go
+// before it must be done in a part of the time that its caller has left. The
+// rest is for its own request, and for later ones that go before it.
+func (g *Gate) mayWait(now time.Time, f *held) bool {
+	ahead := g.queue.ahead(f, g.done(now))
+	wait := g.pace * time.Duration(ahead+1) / time.Duration(max(1, g.server.Slots))
+	return float64(wait) <= waitShare*float64(f.timeout-now.Sub(f.came))
+}
+
+// done returns when a request that begins now is answered, if it takes rather
+// long.
+func (g *Gate) done(now time.Time) time.Time {
+	return now.Add(time.Duration(lateFactor * float64(g.pace)))
 }
 
 // refuse tells a balancer why a flow isn't taken.
-func (g *Gate) refuse(to netip.AddrPort, key Key, reason Reason) {
-	g.Note(Note{Event: "flow is refused", Key: key, Reason: reason, Load: g.load(), Revision: g.view.Revision, Routine: true})
-	g.Reply(to, &Frame{Kind: FrameRefused, Key: key, Reason: reason, Load: g.load()})
+func (g *Gate) refuse(now time.Time, to netip.AddrPort, key Key, reason Reason) {
+	g.Note(Note{Event: "flow is refused", Key: key, Reason: reason, Load: g.load(now), Revision: g.view.Revision, Routine: true})
+	g.Reply(to, &Frame{Kind: FrameRefused, Key: key, Reason: reason, Load: g.load(now)})
 }
 
 // remember keeps a flow; beyond the bound the agent forgets an ended one.
@@ -485,7 +494,7 @@
 		f = &held{key: key, from: from, foreign: true, came: now}
 		g.remember(f)
 	case f == nil, f.offered && p.Ack && p.Acked-f.isn > ackSpan, f.data != nil:
-		g.Reply(from, &Frame{Kind: FrameForeign, Key: key, Load: g.load(), Data: fr.Data})
+		g.Reply(from, &Frame{Kind: FrameForeign, Key: key, Load: g.load(now), Data: fr.Data})
 		return
 	}
 	f.from, f.last = from, now
@@ -525,7 +534,7 @@
 	case f != nil || g.recovering(now):
 		kind = FrameMaybe
 	}
-	g.Reply(from, &Frame{Kind: kind, Key: key, Load: g.load()})
+	g.Reply(from, &Frame{Kind: kind, Key: key, Load: g.load(now)})
 }
 
 // FromServer takes a packet that the backend server sent.
@@ -594,7 +603,7 @@
 	switch {
 	case p.Open:
 		g.drop(f)
-		g.refuse(f.from, key, ReasonFull)
+		g.refuse(now, f.from, key, ReasonFull)
 	case f.offered && f.opened:
 		g.drop(f)
 		if f.ended {
@@ -604,7 +613,7 @@
 		g.Reset(key, f.acked)
 	default:
 		g.drop(f)
-		g.Reply(f.from, &Frame{Kind: FrameForeign, Key: key, Load: g.load(), Data: g.Plain(data)})
+		g.Reply(f.from, &Frame{Kind: FrameForeign, Key: key, Load: g.load(now), Data: g.Plain(data)})
 	}
 	g.pump(now)
 }
@@ -619,19 +628,32 @@
 // pump hands over waiting flows while slots are free.
 func (g *Gate) pump(now time.Time) {
 	for len(g.queue) > 0 && g.free() {
-		f := g.queue.pop()
+		f := g.queue.pop(g.done(now), g.pace/time.Duration(max(1, g.server.Slots)))
 		if g.flows[f.key] != f {
 			continue
 		}
+		if now.Sub(f.came)+g.pace > f.timeout {
+			g.expire(now, f)
+			continue
+		}
 		if reason := g.refusal(now, g.routes[f.key.Service]); reason != ReasonNone {
 			g.drop(f)
-			g.refuse(f.from, f.key, reason)
+			g.refuse(now, f.from, f.key, reason)
 			continue
 		}
 		g.hand(now, f, f.data)
 	}
 }
 
+// expire refuses a flow that has waited for so long that its caller won't see
+// the answer. Flows aren't refused before that is certain: callers who return
+// look new, and delay those who really are.
+func (g *Gate) expire(now time.Time, f *held) {
+	g.Note(Note{Event: "flow has waited for too long", Key: f.key, Age: now.Sub(f.came), Load: g.load(now)})
+	g.drop(f)
+	g.refuse(now, f.from, f.key, ReasonFull)
+}
+
 // Tick finds what is overdue; call it every few milliseconds while flows wait.
 func (g *Gate) Tick(now time.Time) {
 	g.expectAnswers(now)
@@ -663,11 +685,11 @@
 		g.health.failed()
 		if g.silentAt.IsZero() {
 			g.silentAt = now
-			g.Note(Note{Event: "backend server is silent", Key: f.key, Age: now.Sub(g.heardAt), Load: g.load()})
+			g.Note(Note{Event: "backend server is silent", Key: f.key, Age: now.Sub(g.heardAt), Load: g.load(now)})
 			g.Doubt()
 		}
 		g.drop(f)
-		g.refuse(f.from, f.key, ReasonSilent)
+		g.refuse(now, f.from, f.key, ReasonSilent)
 	}
 }
 
@@ -699,8 +721,8 @@
 		case f.ended && quiet > endedWait, quiet > idle:
 			g.setUse(f, useNone)
 			delete(g.flows, key)
-		case f.data != nil && now.Sub(f.came) > attemptWait:
-			g.drop(f)
+		case f.data != nil && now.Sub(f.came)+g.pace > min(f.timeout, attemptWait):
+			g.expire(now, f)
 		case f.use == useRunning && quiet > busyMax:
 			g.health.failed()
 			g.setUse(f, useNone)
--- a/internal/cropaque/packet.go
+++ b/internal/cropaque/packet.go
@@ -21,6 +21,8 @@
 	Returned bool
 	// Seq and Acked are the sender's sequence and acknowledgement numbers.
 	Seq, Acked uint32
+	// Age is how long before an opening packet the caller sent its first copy.
+	Age time.Duration
 	// Size is the length of the data in bytes.
 	Size int
 }
@@ -106,7 +108,9 @@
 	// Final marks an offer that no other agent could take: the agent may let
 	// it wait for a slot.
 	Final bool
-	Load  Load
+	// Age is how long the caller of an offered flow has waited so far.
+	Age  time.Duration
+	Load Load
 	// Data is the datagram, for offers, carried packets and returned ones.
 	Data []byte
 }
--- a/internal/cropaque/steering.go
+++ b/internal/cropaque/steering.go
@@ -46,6 +46,9 @@
 	tableMax = 100_000
 	// leftFor is how long an agent that said that it stops gets no offers.
 	leftFor = time.Second
+	// earlyMax bounds the flows that wait for the first view: what a full
+	// balancer gets in a second.
+	earlyMax = 2_000
 	// pendingMax bounds the packets that a sought flow holds.
 	pendingMax = 4
 	// crossShare is the part of a route's target that another zone's agent
@@ -90,6 +93,8 @@
 	// byService lists the agents of each service.
 	byService map[string][]*peer
 	flows     map[Key]*flow
+	// early are new flows that came before the first view, in their order.
+	early []*flow
 	// due holds flows that something must happen to, ordered by time because
 	// all waits of one list are alike.
 	due   dueQueue
@@ -207,6 +212,7 @@
 		}
 	}
 	s.peers = known
+	s.placeEarly(now)
 }
 
 // Ready says whether new flows can be placed.
@@ -221,7 +227,7 @@
 	}
 	switch {
 	case p.Open && f == nil:
-		s.begin(now, key, data)
+		s.begin(now, p, data)
 	case p.Open:
 		s.repeat(now, f, data)
 	case f == nil:
@@ -257,19 +263,48 @@
 	s.flows[f.key] = f
 }
 
-// begin places a new flow.
-func (s *Steering) begin(now time.Time, key Key, data []byte) {
-	route := s.routes[key.Service]
-	if route == nil {
-		if s.Ready() {
-			s.Note(Note{Event: "caller is reset: no route", Key: key, Revision: s.view.Revision})
-			s.Reset(key, 0)
-		}
+// begin places a new flow. Before the first view it can only be held.
+func (s *Steering) begin(now time.Time, p Packet, data []byte) {
+	f := &flow{
+		key: p.FromCaller(), phase: phaseOpening, came: now.Add(-p.Age), last: now, first: append([]byte(nil), data...),
+	}
+	route := s.routes[f.key.Service]
+	switch {
+	case route != nil:
+		s.remember(f)
+		s.place(now, f, route)
+	case s.Ready():
+		s.Note(Note{Event: "caller is reset: no route", Key: f.key, Revision: s.view.Revision})
+		s.Reset(f.key, 0)
+	case len(s.flows) < earlyMax:
+		s.remember(f)
+		s.early = append(s.early, f)
+	}
+}
+
+// placeEarly places the flows that waited for the first view.
+func (s *Steering) placeEarly(now time.Time) {
+	if len(s.early) == 0 || !s.Ready() {
 		return
 	}
-	f := &flow{key: key, phase: phaseOpening, came: now, last: now, first: append([]byte(nil), data...)}
-	s.remember(f)
-	s.place(now, f, route)
+	s.Note(Note{Event: "flows that waited for a view are placed", Age: now.Sub(s.early[0].came), Revision: s.view.Revision})
+	for _, f := range s.early {
+		if s.flows[f.key] != f || f.phase != phaseOpening {
+			continue
+		}
+		route := s.routes[f.key.Service]
+		switch {
+		case route == nil:
+			delete(s.flows, f.key)
+			s.Reset(f.key, 0)
+		case now.Sub(f.came) >= min(attemptWait, route.Timeout.D()):
+			// Its caller has given up.
+			delete(s.flows, f.key)
+		default:
+			s.place(now, f, route)
+		}
+	}
+	s.early = nil
 }
 
 // repeat handles another copy of an opening packet.
@@ -376,7 +411,7 @@
 	p.given++
 	s.question(now, p)
 	f.owner = p
-	s.Send(p.addr, &Frame{Kind: FrameOffer, Key: f.key, Final: f.final, Data: f.first})
+	s.Send(p.addr, &Frame{Kind: FrameOffer, Key: f.key, Final: f.final, Age: now.Sub(f.came), Data: f.first})
 	s.wait(now, f, answerWait)
 }
 
--- a/internal/cropaque/world_test.go
+++ b/internal/cropaque/world_test.go
@@ -44,6 +44,9 @@
 	// retries and deadline are those of callers.
 	retries  int
 	deadline time.Duration
+	// blind makes the fabric spread packets over all balancers, also those
+	// that are down, as fabrics do while none is ready.
+	blind bool
 	// brokenFlows counts resets of open flows whose backend server lives.
 	brokenFlows int
 	log         []string
@@ -104,12 +107,14 @@
 	failing float64
 	// stalled holds back every answer until it is over.
 	stalled time.Time
-	flows   map[cropaque.Key]*served
-	running int
-	queue   []*served
-	seq     uint64
-	born    int64
-	isn     uint32
+	// coldTill is until when it takes longer for each request.
+	coldTill time.Time
+	flows    map[cropaque.Key]*served
+	running  int
+	queue    []*served
+	seq      uint64
+	born     int64
+	isn      uint32
 }
 
 // served is a flow at a backend server.
@@ -148,6 +153,8 @@
 	servers = 7
 	slots   = 3
 	work    = 24 * time.Millisecond
+	// coldFactor is how many times longer a cold backend server takes.
+	coldFactor = 1.6
 )
 
 // zones are the availability zones of a world.
@@ -286,8 +293,14 @@
 	return farDelay
 }
 
-// start makes a balancer with nothing known.
+// start makes a balancer that knows the view and nothing else.
 func (b *balancer) start() {
+	b.open()
+	b.steering.SetView(b.w.now, b.w.view)
+}
+
+// open makes a balancer that knows nothing.
+func (b *balancer) open() {
 	b.down = false
 	b.steering = &cropaque.Steering{
 		Zone: b.zone, Random: b.w.rnd.Float64, Fresh: func() bool { return true },
@@ -303,7 +316,6 @@
 		Reset: func(key cropaque.Key, _ uint32) { b.w.reset(key) },
 	}
 	b.steering.Init()
-	b.steering.SetView(b.w.now, b.w.view)
 }
 
 // frame takes a frame of a balancer.
@@ -320,6 +332,12 @@
 
 // start makes an agent with nothing known but the view.
 func (a *agent) start() {
+	a.open()
+	a.gate.SetView(a.w.view)
+}
+
+// open makes an agent that knows nothing.
+func (a *agent) open() {
 	w := a.w
 	a.down = false
 	a.gate = &cropaque.Gate{
@@ -368,7 +386,6 @@
 		Note: w.note(a.addr),
 	}
 	a.gate.Init()
-	a.gate.SetView(w.view)
 }
 
 // note keeps what was decided, for failures.
@@ -442,7 +459,11 @@
 		if at := w.callers[f.key]; at != nil {
 			at.r.runs++
 		}
-		w.after(time.Duration(float64(s.work)*(0.5+w.rnd.Float64())), func() {
+		took := float64(s.work) * (0.5 + w.rnd.Float64())
+		if w.now.Before(s.coldTill) {
+			took *= coldFactor
+		}
+		w.after(time.Duration(took), func() {
 			if s.down || s.born != life {
 				return
 			}
