--- a/internal/cropaque/gate.go
+++ b/internal/cropaque/gate.go
@@ -575,8 +575,10 @@
 	case p.End || p.Size > 0 && p.Size < fullSize:
 		// A packet that isn't full ends the answer.
 		if f.use == useRunning {
-			g.measure(now.Sub(f.work))
-			g.health.answered(f.key.Service, f.size)
+			// The time of an error says nothing of that of a request.
+			if took := now.Sub(f.work); g.health.answered(f.key.Service, f.size, took) {
+				g.measure(took)
+			}
 		}
 		g.setUse(f, useNone)
 	}
--- a/internal/cropaque/health_test.go
+++ b/internal/cropaque/health_test.go
@@ -9,9 +9,13 @@
 	"cardamomring.dev/internal/cropaque"
 )
 
-// answerSize lets the backend server answer a request with a size.
-func (b *bench) answerSize(size int) {
+// answerSize lets the backend server answer a request with a size at once.
+func (b *bench) answerSize(size int) { b.answerAfter(0, size) }
+
+// answerAfter lets the backend server answer a request with a size after a time.
+func (b *bench) answerAfter(took time.Duration, size int) {
 	key := b.open()
+	b.now = b.now.Add(took)
 	for ; size > 1200; size -= 1200 {
 		b.gate.FromServer(b.now, cropaque.Packet{From: key.Service, To: key.Caller, Size: 1200}, nil)
 	}
@@ -57,3 +61,36 @@
 		})
 	}
 }
+
+// TestQuickErrors: errors that are about as large as answers, and come at once,
+// are failures; a backend server that becomes much faster isn't failing.
+func TestQuickErrors(t *testing.T) {
+	w := newWorld(10)
+	b := newBench()
+	seq := uint64(2)
+	run := func(n int, took time.Duration) (most int) {
+		for range n {
+			seq++
+			b.announce(seq, false, 0)
+			spread := math.Exp(0.5 * w.rnd.NormFloat64())
+			b.answerAfter(time.Duration(spread*float64(took)), int(800*math.Exp(0.5*w.rnd.NormFloat64())))
+			most = max(most, b.failing(t))
+		}
+		return most
+	}
+	if most := run(400, 30*time.Millisecond); most > 250 {
+		t.Errorf("%d thousandths of proper answers count as failures at worst", most)
+	}
+	if most := run(400, 12*time.Millisecond); most > 250 {
+		t.Errorf("%d thousandths of faster answers count as failures at worst", most)
+	}
+	run(400, 30*time.Millisecond)
+	for range 10 {
+		seq++
+		b.announce(seq, false, 0)
+		b.answerAfter(time.Millisecond, 400)
+	}
+	if got := b.failing(t); got < 500 {
+		t.Errorf("%d thousandths after ten errors within a millisecond, want at least 500", got)
+	}
+}
--- a/internal/cropaque/queue.go
+++ b/internal/cropaque/queue.go
@@ -104,5 +104,3 @@
 func (q *waitQueue) clean(stays func(f *held) bool) {
 	*q = slices.DeleteFunc(*q, func(f *held) bool { return !stays(f) })
 }
-
-const crowd = 2
--- a/internal/cropaque/steering.go
+++ b/internal/cropaque/steering.go
@@ -488,7 +488,11 @@
 	// be repeated is lost: that weighs as much as a few times the target.
 	// A report fades as the share does at the agent, so that it is tried again.
 	fade := math.Pow(fadeShare, float64(now.Sub(p.reported)/sweepEvery))
-	if failing := float64(p.load.Failing) / 1000 * fade; failing > failMin {
+	least := failMin
+	if !route.Repeatable {
+		least = 0
+	}
+	if failing := float64(p.load.Failing) / 1000 * fade; failing > least {
 		d += failWeight * failing * float64(route.Target.D())
 	}
 	if p.member.Zone != s.Zone {
