--- a/internal/crcontrol/admission.go
+++ b/internal/crcontrol/admission.go
@@ -105,12 +105,13 @@
 	case status.Leading:
 		out, err := c.admit(r.Context(), in)
 		c.answer(w, out, err)
-	case status.Address == "" || status.Address == in.Address || r.Header.Get(headerForwarded) != "":
+	case status.Address == "" || status.Address == in.Address || in.Passed:
 		c.answer(w, nil, &crreplica.NotLeaderError{Leader: status.Address})
 	default:
 		ctx, cancel := context.WithTimeout(r.Context(), admitTimeout)
 		defer cancel()
 		var out crwire.Admitted
+		in.Passed = true
 		err := c.client.JSON(ctx, status.Address, PathAdmit, in, &out)
 		c.answer(w, out, err)
 	}
--- a/internal/crcontrol/admission_test.go
+++ b/internal/crcontrol/admission_test.go
@@ -135,6 +135,7 @@
 		if held, err = n.Catalog(context.Background()); err == nil {
 			break
 		}
+		time.Sleep(10 * time.Millisecond)
 	}
 	if err != nil || held.Version != version || string(held.Source) != fmt.Sprint(version) {
 		g.tb.Errorf("read %+v, %v; want version %d", held, err, version)
@@ -221,3 +222,31 @@
 		t.Errorf("acknowledged with %d voters, want 3", len(status.Voters))
 	}
 }
+
+// TestAdmissionIsPassedOnOnce: instances that disagree about the leader don't
+// hand a request to be admitted around.
+func TestAdmissionIsPassedOnOnce(t *testing.T) {
+	g := &group{tb: t, client: &crnet.Client{}}
+	g.client.Open()
+	t.Cleanup(g.client.Close)
+	g.seeds = []string{freeAddr(t), freeAddr(t), freeAddr(t)}
+	var nodes []*node
+	for i, addr := range g.seeds {
+		nodes = append(nodes, g.start(uint64(i+1), addr, filepath.Join(t.TempDir(), "data"), true))
+	}
+	for _, n := range nodes {
+		g.await(n, g.seeds...)
+	}
+	for _, n := range nodes {
+		var status crwire.Status
+		if err := g.call(n.addr, "/status", &status); err != nil {
+			t.Fatal(err)
+		}
+		var out crwire.Admitted
+		in := crwire.Admit{ID: 1, Address: g.seeds[0], Passed: true}
+		err := g.client.JSON(t.Context(), n.addr, crcontrol.PathAdmit, in, &out)
+		if (err == nil) != status.Leading {
+			t.Errorf("a request that was passed on to %s, leading %t: %v", n.addr, status.Leading, err)
+		}
+	}
+}
--- a/internal/crwire/admit.go
+++ b/internal/crwire/admit.go
@@ -7,6 +7,9 @@
 	ID uint64 `json:"id"`
 	// Address is its host:port.
 	Address string `json:"address"`
+	// Passed says that an instance passed the request on to the one that it
+	// takes for the leader, which doesn't pass it on again.
+	Passed bool `json:"passed,omitempty"`
 }
 
 // Admitted answers it.
