An agent claims open flows only, and gives back what acknowledges too much

Ruled out: the callers' retries (a request that was sent isn't sent on another flow) and lost counts (each backend server counts a flow's request once).

Change: an agent says "maybe" of a flow that isn't open, and takes a packet only if it acknowledges no more than the backend server has sent. TestGateHalfOpen fails before.

--- a/internal/cropaque/gate.go
+++ b/internal/cropaque/gate.go
@@ -43,9 +43,9 @@
 	// quietBeats is how many announcements may be missing before a backend
 	// server gets no new flows.
 	quietBeats = 4
-	// ackSpan bounds how far an acknowledgement may be from the start of the
-	// flow for it to belong to it, in bytes.
-	ackSpan = 1 << 30
+	// ackSlack is how much more than its data a backend server's sequence
+	// numbers may grow by: one for each end of the connection.
+	ackSlack = 2
 	// sweepEvery is the time between looks at all flows.
 	sweepEvery = 250 * time.Millisecond
 )
@@ -150,6 +150,9 @@
 	from netip.AddrPort
 	// start is the caller's first sequence number, isn the backend server's.
 	start, isn uint32
+	// sent is what the backend server has sent since isn, in bytes. A caller
+	// that acknowledges more has opened the flow at another one.
+	sent uint32
 	// offered says that isn is known; opened, that the caller acknowledged it.
 	offered, opened bool
 	// foreign marks a flow that this agent has never seen begin; the backend
@@ -493,7 +496,7 @@
 	case f == nil && g.recovering(now):
 		f = &held{key: key, from: from, foreign: true, came: now}
 		g.remember(f)
-	case f == nil, f.offered && p.Ack && p.Acked-f.isn > ackSpan, f.data != nil:
+	case f == nil, f.offered && p.Ack && p.Acked-f.isn > f.sent+ackSlack, f.data != nil:
 		g.Reply(from, &Frame{Kind: FrameForeign, Key: key, Load: g.load(now), Data: fr.Data})
 		return
 	}
@@ -523,12 +526,13 @@
 	return now.Sub(g.Started) < idleDefault && (!g.present || g.server.Born < g.Started.UnixMilli())
 }
 
-// seek tells whether the agent owns a flow.
+// seek tells whether the agent owns a flow. One that isn't open here yet may be
+// open at another agent that took it as well.
 func (g *Gate) seek(now time.Time, from netip.AddrPort, key Key) {
 	kind := FrameForeign
 	f := g.flows[key]
 	switch {
-	case f != nil && !f.foreign:
+	case f != nil && f.opened && !f.foreign:
 		kind = FrameOwn
 		f.from = from
 	case f != nil || g.recovering(now):
@@ -563,9 +567,12 @@
 func (g *Gate) follow(now time.Time, f *held, p Packet) {
 	f.last, f.foreign = now, false
 	f.size += p.Size
+	if sent := p.Seq + uint32(p.Size) - f.isn; f.offered && int32(sent-f.sent) > 0 {
+		f.sent = sent
+	}
 	switch {
 	case p.Open && p.Ack:
-		f.isn, f.offered = p.Seq, true
+		f.isn, f.sent, f.offered = p.Seq, 0, true
 	case p.Reset:
 		if f.use == useRunning && !f.ended {
 			g.health.failed()
--- a/internal/cropaque/gate_test.go
+++ b/internal/cropaque/gate_test.go
@@ -212,6 +212,32 @@
 	}
 }
 
+// TestGateHalfOpen: an agent that took a flow which the caller opened elsewhere
+// doesn't claim it, and gives back packets that acknowledge more than its backend
+// server has sent. The soak found the contrary (seeds 20 and 30): requests ran at
+// a second backend server.
+func TestGateHalfOpen(t *testing.T) {
+	b := newBench()
+	key := b.offer()
+	b.gate.FromServer(b.now, cropaque.Packet{From: key.Service, To: key.Caller, Open: true, Ack: true, Seq: 500}, nil)
+	b.frame(cropaque.FrameSeek, cropaque.Packet{From: key.Caller, To: key.Service})
+	b.want(t, "a flow that isn't open", "maybe none")
+	given := b.given
+	b.frame(cropaque.FrameCarry, cropaque.Packet{From: key.Caller, To: key.Service, Ack: true, Acked: 2501, Size: 9})
+	b.want(t, "a packet of another handshake", "foreign none")
+	if diff := cmp.Diff(given, b.given); diff != "" {
+		t.Errorf("packets handed over (-want +got):\n%s", diff)
+	}
+	b.frame(cropaque.FrameCarry, cropaque.Packet{From: key.Caller, To: key.Service, Ack: true, Acked: 501, Size: 9})
+	b.frame(cropaque.FrameSeek, cropaque.Packet{From: key.Caller, To: key.Service})
+	b.want(t, "an open flow", "own none")
+	b.gate.FromServer(b.now, cropaque.Packet{From: key.Service, To: key.Caller, Ack: true, Seq: 501, Size: 1200}, nil)
+	b.frame(cropaque.FrameCarry, cropaque.Packet{From: key.Caller, To: key.Service, Ack: true, Acked: 1701, Size: 9})
+	if diff := cmp.Diff(given+2, b.given); diff != "" {
+		t.Errorf("packets of the open flow handed over (-want +got):\n%s", diff)
+	}
+}
+
 // TestGateUrgentFirst: when a slot frees, the most urgent waiting flow goes
 // first, whatever came before it.
 func TestGateUrgentFirst(t *testing.T) {
