--- a/cmd/crnode/main.go
+++ b/cmd/crnode/main.go
@@ -19,6 +19,7 @@
 // args are the command line.
 type args struct {
 	Role string `arg:"positional,required" help:"balancer, control or agent"`
+	Bind string `arg:"--bind" help:"IP address that control listens on for our own processes, where they reach it by another one, such as a proxy's"`
 }
 
 // Description says what the command does.
@@ -49,7 +50,7 @@
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	limitMemory(settings.Limits.MemoryMB)
-	p, err := newProcess(a.Role, settings)
+	p, err := newProcess(a, settings)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(2)
--- a/cmd/crnode/process.go
+++ b/cmd/crnode/process.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"net/netip"
 	"os"
 	"os/signal"
 	"slices"
@@ -52,22 +53,31 @@
 	// listeners serve the platform's calls while the role runs.
 	listeners []*crnet.Server
 	metrics   int
-	controls  atomic.Pointer[[]string]
+	// bind is the IP address that control listens on for our own processes.
+	bind     string
+	controls atomic.Pointer[[]string]
 }
 
 // newProcess makes a process for a role.
-func newProcess(role string, settings *platform.Settings) (*process, error) {
+func newProcess(a args, settings *platform.Settings) (*process, error) {
 	logger, err := crobs.NewLog(crdoc.Log{Format: crdoc.FormatJSON}, os.Stdout)
 	if err != nil {
 		return nil, err
 	}
 	p := &process{
 		settings: settings, logger: logger, registry: crobs.NewRegistry(), client: &crnet.Client{}, metrics: metricsPort,
+		bind: settings.IP,
+	}
+	if a.Bind != "" {
+		if _, err := netip.ParseAddr(a.Bind); err != nil {
+			return nil, fmt.Errorf("--bind: %w", err)
+		}
+		p.bind = a.Bind
 	}
 	p.client.Open()
 	controls := settings.Controls()
 	p.controls.Store(&controls)
-	switch role {
+	switch a.Role {
 	case "balancer":
 		p.balancer()
 	case "agent":
@@ -75,7 +85,7 @@
 	case "control":
 		p.control()
 	default:
-		return nil, fmt.Errorf("role %q: want balancer, control or agent", role)
+		return nil, fmt.Errorf("role %q: want balancer, control or agent", a.Role)
 	}
 	if settings.Listen.Ready != "" {
 		p.serve(settings.Listen.Ready, platform.Ready(func() error { return p.serving() }))
--- a/cmd/crnode/roles.go
+++ b/cmd/crnode/roles.go
@@ -97,7 +97,7 @@
 func (p *process) replica() *crdoc.Settings {
 	s := p.settings
 	r := &crdoc.Replica{
-		ID: number(s.IP), Listen: s.Own(), Data: s.Data, Address: s.Own(), Lease: crdoc.Duration(lease),
+		ID: number(s.IP), Listen: s.OwnAt(p.bind), Data: s.Data, Address: s.Own(), Lease: crdoc.Duration(lease),
 		Members: map[uint64]string{},
 	}
 	if s.First && crcontrol.Founder(s.Own(), s.Controls()) {
