--- a/internal/cropaque/packet.go
+++ b/internal/cropaque/packet.go
@@ -89,7 +89,8 @@
 
 // Load is what an agent tells of its backend server with each answer.
 type Load struct {
-	// Busy counts the requests under way, Queued those that wait at the agent.
+	// Busy counts the requests under way, Queued the waiting ones that can still
+	// be answered in time: a new one waits for them.
 	Busy, Queued int
 	// Slots is how many requests the backend server runs at a time.
 	Slots int
