cregress: uploads share the entry link and take turns

Cause: the outgoing direction of a small balancer's link is slow, and four uploads that send a whole window each overfill its queue. What follows is dropped: packets that callers send again after 0.2 to 1.6 s, offers, lookups and pings.

Change: where the catalog has routes for uploads (Route.Upload) and the link is known (Steering.LinkBytes), packets of uploads are paced by cregress.Queue, fair by flow, copies of what waits are dropped, and urgent frames go at once and are charged. cregress.Turns opens only as many uploads as the link carries without callers sending again; the others wait by time left, a client account's further uploads behind those of others. What can't be carried in time is refused at once.

--- a/cmd/crnode/roles.go
+++ b/cmd/crnode/roles.go
@@ -61,7 +61,7 @@
 func controlFrames(l platform.Limits) float64 {
 	var limit float64
 	if l.LinkMbps > 0 {
-		limit = controlShare * l.LinkMbps * 1e6 / 8 / controlFrameBytes
+		limit = controlShare * linkBytes(l) / controlFrameBytes
 	}
 	if l.CPUShare > 0 {
 		byProcessor := controlShare * l.CPUShare / controlFrameTime.Seconds()
@@ -75,12 +75,16 @@
 	return max(minControlFrames, limit)
 }
 
+// linkBytes returns what the machine's link carries in a second, in bytes; 0 means
+// unknown.
+func linkBytes(l platform.Limits) float64 { return l.LinkMbps * 1e6 / 8 }
+
 // setUpBalancer sets the process up to run a balancer.
 func (p *process) setUpBalancer() {
 	s := p.settings
 	b := &cropaqueio.Balancer{
 		Name: s.Name, Zone: s.Zone, CallerAddr: s.Listen.Datagrams, FrameAddr: s.InternalAddr(), Sources: s.ControlAddrs(),
-		Codec: codec, ControlFrames: controlFrames(s.Limits), DrainTime: p.boundByStopGrace(balancerDrainTime), Client: p.client, Registry: p.registry, Logger: p.logger,
+		Codec: codec, ControlFrames: controlFrames(s.Limits), LinkBytes: linkBytes(s.Limits), DrainTime: p.boundByStopGrace(balancerDrainTime), Client: p.client, Registry: p.registry, Logger: p.logger,
 	}
 	p.runRole, p.checkReady, p.setControls = b.Run, b.Serving, b.SetSources
 }
--- a/internal/cropaque/placement.go
+++ b/internal/cropaque/placement.go
@@ -49,7 +49,7 @@
 	switch {
 	case route != nil:
 		s.addFlow(f)
-		s.place(now, f, route)
+		s.openOrWait(now, f)
 	case s.Ready():
 		s.LogDecision(Decision{Event: "caller is reset: no route", Key: f.key, Revision: s.view.Revision})
 		s.ResetFlow(f.key, 0)
@@ -78,7 +78,7 @@
 			// The caller has given up.
 			delete(s.flows, f.key)
 		default:
-			s.place(now, f, route)
+			s.openOrWait(now, f)
 		}
 	}
 	s.awaitingView = nil
--- a/internal/cropaque/steering.go
+++ b/internal/cropaque/steering.go
@@ -45,6 +45,13 @@
 	// ControlFrames limits the frames that are sent in a second to look up owners
 	// and to test agents; 0 means without limit.
 	ControlFrames float64
+	// LinkBytes is what the balancer's link carries in a second, in bytes; 0 means
+	// unknown. When it is known, uploads share the link.
+	LinkBytes float64
+	// ObserveTurnWait records how long an upload waited to be opened, and
+	// ObserveUplinkWait how long a packet of an upload waited for the link. They may
+	// be nil.
+	ObserveTurnWait, ObserveUplinkWait func(d time.Duration)
 	// ObservePlacement records the time from a flow's first packet until an
 	// agent has taken it. It may be nil.
 	ObservePlacement func(d time.Duration)
@@ -69,6 +76,9 @@
 	// was late and handled no timers.
 	nextTickAt time.Time
 	inGrace    bool
+	// uplink shares the link between uploads; nil without an upload route or a known
+	// link.
+	uplink *uplink
 }
 
 // Init prepares the steering for use.
@@ -77,11 +87,13 @@
 	s.flows = map[Key]*balancerFlow{}
 	s.control.perSecond = s.ControlFrames
 	s.view = &crwire.View{}
+	s.initUplink()
 }
 
 // SetView applies a newer view.
 func (s *Steering) SetView(now time.Time, v *crwire.View) {
 	s.view, s.routes = v, newRoutes(v)
+	s.setUplink()
 	s.members = map[string]*serviceMembers{}
 	zonesOut := map[string]bool{}
 	for _, z := range v.ZonesOut {
@@ -129,6 +141,7 @@
 
 // HandlePacket processes a packet of a caller.
 func (s *Steering) HandlePacket(now time.Time, p Packet, data []byte) {
+	s.advanceUplink(now)
 	key := p.KeyFromCaller()
 	f := s.flows[key]
 	if f != nil && p.Open && f.openSeen && f.callerISN != p.Seq {
@@ -151,7 +164,7 @@
 		s.lookUpOwner(now, f, data)
 	default:
 		f.recordPacket(p)
-		s.forward(now, f, data)
+		s.carry(now, f, p, data)
 	}
 }
 
@@ -198,6 +211,7 @@
 
 // HandleFrame processes a frame of an agent.
 func (s *Steering) HandleFrame(now time.Time, from netip.AddrPort, fr *Frame) {
+	s.advanceUplink(now)
 	p := s.peers[from]
 	if p == nil {
 		return
@@ -242,6 +256,7 @@
 // When Tick runs late, answers may wait in the socket that arrived in time. It then
 // gives them a moment to be handled before it takes agents for silent.
 func (s *Steering) Tick(now time.Time) {
+	s.runUplink(now)
 	if !s.inGrace && !s.nextTickAt.IsZero() && now.Sub(s.nextTickAt) >= lateTick {
 		s.inGrace, s.nextTickAt = true, now.Add(lateTickGrace)
 		return
@@ -294,6 +309,9 @@
 			s.ping(now, p)
 		}
 	}
+	if s.uplink != nil {
+		s.uplink.turns.Sweep(now)
+	}
 	for key, f := range s.flows {
 		if now.Sub(f.lastPacketAt) > flowRetention {
 			delete(s.flows, key)
@@ -305,8 +323,8 @@
 	}
 }
 
-// HasTimers reports whether any flow waits for a timer.
-func (s *Steering) HasTimers() bool { return len(s.timers) > 0 }
+// HasTimers reports whether any flow waits for a timer or for the link.
+func (s *Steering) HasTimers() bool { return len(s.timers) > 0 || !s.uplinkNextAt().IsZero() }
 
 // UntilNextTick returns the time until Tick is next needed.
 func (s *Steering) UntilNextTick(now time.Time) time.Duration {
@@ -322,5 +340,8 @@
 	if len(s.timers) > 0 && s.timers[0].at.Before(next) {
 		next = s.timers[0].at
 	}
+	if at := s.uplinkNextAt(); !at.IsZero() && at.Before(next) {
+		next = at
+	}
 	return next
 }
--- a/internal/cropaqueio/balancer.go
+++ b/internal/cropaqueio/balancer.go
@@ -43,6 +43,9 @@
 	// ControlFrames limits the frames that are sent in a second to look up owners
 	// of flows and to test agents; 0 means without limit.
 	ControlFrames float64
+	// LinkBytes is what the instance's link carries in a second, in bytes; 0 means
+	// unknown.
+	LinkBytes float64
 	// DrainTime is how long a stopping balancer keeps forwarding. The fabric
 	// must have moved the callers' packets to other balancers by then.
 	DrainTime time.Duration
@@ -60,12 +63,15 @@
 	callerPort    uint16
 	datagramCount *prometheus.CounterVec
 	placementWait prometheus.Histogram
+	uplink        uplinkMetrics
 
 	mu       sync.Mutex
 	steering *cropaque.Steering
 	buf      []byte
 	wake     chan struct{}
 	idle     bool
+	// tickAt is when loop runs the timers next.
+	tickAt time.Time
 	// viewFresh is true if control has confirmed the view within viewFreshFor.
 	// It is a copy, because the follower must not be called with mu held: it
 	// calls setView, which takes mu, with its own lock held.
@@ -103,12 +109,16 @@
 		Buckets: prometheus.ExponentialBuckets(0.0005, 2, 12),
 	})
 	b.Registry.MustRegister(b.datagramCount, b.placementWait)
+	if b.LinkBytes > 0 {
+		b.registerUplinkMetrics()
+	}
 	b.wake = make(chan struct{}, 1)
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.steering = &cropaque.Steering{
 		Zone: b.Zone, ControlFrames: b.ControlFrames, Send: b.send, ResetFlow: b.resetFlow, Random: rand.Float64, ViewFresh: func() bool { return b.viewFresh }, LogDecision: b.decisions.record,
 		ObservePlacement: func(d time.Duration) { b.placementWait.Observe(d.Seconds()) },
+		LinkBytes:        b.LinkBytes, ObserveTurnWait: b.observeTurnWait, ObserveUplinkWait: b.observeUplinkWait,
 	}
 	b.steering.Init()
 	b.follower = newFollower(b.Name, b.Client, b.Sources, b.Logger, b.setView)
@@ -204,13 +214,14 @@
 	}
 }
 
-// wakeTimers wakes loop if it is idle and there are timers now. Call it with mu
-// held.
+// wakeTimers wakes loop if it is idle and there are timers now, or if something waits
+// for the link that is due well before the next tick. Call it with mu held.
 func (b *Balancer) wakeTimers() {
-	if !b.idle || !b.steering.HasTimers() {
+	wanted := b.idle && b.steering.HasTimers()
+	if !wanted && !b.steering.UplinkDue(b.tickAt.Add(-minTickInterval)) {
 		return
 	}
-	b.idle = false
+	b.idle, b.tickAt = false, time.Now()
 	select {
 	case b.wake <- struct{}{}:
 	default:
@@ -228,7 +239,7 @@
 		now := time.Now()
 		b.steering.Tick(now)
 		interval := max(minTickInterval, min(maxTickInterval, b.steering.UntilNextTick(now)))
-		b.idle = !b.steering.HasTimers()
+		b.idle, b.tickAt = !b.steering.HasTimers(), now.Add(interval)
 		b.mu.Unlock()
 		timer.Reset(interval)
 		select {
--- a/pkg/crdoc/catalog.go
+++ b/pkg/crdoc/catalog.go
@@ -22,6 +22,9 @@
 	Address netip.AddrPort `json:"address"`
 	// Repeatable reports whether a request may run more than once without harm.
 	Repeatable bool `json:"repeatable,omitempty"`
+	// Upload reports whether the requests are long transfers to the backend server.
+	// Balancers whose link is known let them take turns.
+	Upload bool `json:"upload,omitempty"`
 	// Priority orders requests; 0 is the most urgent.
 	Priority int `json:"priority"`
 	// Timeout is how long a caller waits for an answer. Must be positive.
