--- a/internal/cregress/turns.go
+++ b/internal/cregress/turns.go
@@ -17,11 +17,17 @@
 	maxUploads = 4096
 	// turnMeans and turnWindows are what an upload may send in one turn while others
 	// wait: so many times the mean upload, and at least so many windows.
-	turnMeans, turnWindows = 8, 8
+	turnMeans, turnWindows = 2, 2
+	// reserveShare is the share of a caller's time that is kept for an upload that is
+	// late already. Until then those that can still be in time go first.
+	reserveShare = 0.5
 	// firstMeanWindows is the assumed size of an upload, in windows, before the
 	// first one has ended, and meanWeight the weight of each that ends.
 	firstMeanWindows = 2
 	meanWeight       = 1.0 / 16
+	// measureInterval is how long the rate that uploads get is measured, and
+	// measureWeight the weight of each measurement.
+	measureInterval, measureWeight = 500 * time.Millisecond, 0.25
 )
 
 // Verdict is a decision about an upload.
@@ -42,8 +48,9 @@
 // Request is an upload that a caller wants to open.
 type Request struct {
 	Flow Flow
-	// ArrivedAt is when the caller began to open it, GiveUpAt when it gives up.
-	ArrivedAt, GiveUpAt time.Time
+	// ArrivedAt is when the caller began to open it, TargetAt when it expects the answer,
+	// and GiveUpAt when it gives up.
+	ArrivedAt, TargetAt, GiveUpAt time.Time
 }
 
 // Turns decides which uploads are open at once. When more callers upload at a crest of
@@ -51,8 +58,9 @@
 // longer than callers do before they send again, and all would be late. Only as many
 // have a turn as the link carries without that. The others wait to be opened in the
 // order of their callers' time left, where each further upload of a client account goes
-// behind those of others. One that would time out while it opens is opened without a
-// turn, and its packets wait. Set the exported fields before use. Turns is not safe for
+// behind those of others, and those that are late already go behind those that aren't
+// while they can. An upload that would time out while it opens is opened without a turn,
+// and its packets wait. Set the exported fields before use. Turns is not safe for
 // concurrent use.
 type Turns struct {
 	// Rate is what the link carries in a second, in bytes.
@@ -76,6 +84,10 @@
 	accounts map[netip.Addr]int
 	// meanBytes is the average size of an upload on the link.
 	meanBytes float64
+	// carryRate is what uploads got of the link in a second while others waited.
+	// sentBytes were sent since measuredAt, when uploads began to wait.
+	carryRate, sentBytes float64
+	measuredAt           time.Time
 	// moved counts the uploads that came from other balancers.
 	moved uint64
 }
@@ -100,7 +112,7 @@
 // Init prepares the turns for use.
 func (t *Turns) Init() {
 	t.uploads, t.accounts = map[Flow]*upload{}, map[netip.Addr]int{}
-	t.meanBytes = firstMeanWindows * t.WindowBytes
+	t.meanBytes, t.carryRate = firstMeanWindows*t.WindowBytes, t.Rate
 }
 
 // Places returns how many uploads have a turn at once.
@@ -125,7 +137,7 @@
 		t.grant(now, u)
 		return VerdictOpen
 	}
-	if !t.inTime(now, u, t.position(u)) {
+	if t.carriedAt(now, u, t.position(u)).After(u.GiveUpAt) {
 		return VerdictRefuse
 	}
 	t.add(u)
@@ -166,11 +178,23 @@
 	t.line, u.queued = slices.Insert(t.line, t.position(u), u), true
 }
 
-// inTime reports whether an upload with n others before it can be carried before its
-// caller gives up, if the link carries nothing else.
-func (t *Turns) inTime(now time.Time, u *upload, n int) bool {
-	seconds := (float64(n)*t.meanBytes + max(0, t.meanBytes-u.bytes)) / t.Rate
-	return !now.Add(time.Duration(seconds * float64(time.Second))).After(u.GiveUpAt)
+// measure updates the rate that uploads get.
+func (t *Turns) measure(now time.Time) {
+	d := now.Sub(t.measuredAt)
+	switch {
+	case len(t.line) == 0 || t.measuredAt.IsZero():
+	case d < measureInterval:
+		return
+	default:
+		t.carryRate += measureWeight * (min(t.Rate, max(t.Rate/2, t.sentBytes/d.Seconds())) - t.carryRate)
+	}
+	t.sentBytes, t.measuredAt = 0, now
+}
+
+// carriedAt returns when an upload with n others before it is carried.
+func (t *Turns) carriedAt(now time.Time, u *upload, n int) time.Time {
+	seconds := (float64(n)*t.meanBytes + max(0, t.meanBytes-u.bytes)) / max(1, t.carryRate)
+	return now.Add(time.Duration(seconds * float64(time.Second)))
 }
 
 // lapse ends the turns of uploads that pause.
@@ -184,14 +208,31 @@
 	})
 }
 
+// first returns the index of the upload in line that goes first: one that has little
+// time left, else one that can still be answered within its target, else the first.
+func (t *Turns) first(now time.Time) int {
+	first, found := 0, false
+	for i, u := range t.line {
+		if float64(u.GiveUpAt.Sub(now)) < reserveShare*float64(u.GiveUpAt.Sub(u.ArrivedAt)) {
+			return i
+		}
+		if !found && !t.carriedAt(now, u, 0).After(u.TargetAt) {
+			first, found = i, true
+		}
+	}
+	return first
+}
+
 // Next returns the next decision that is due: VerdictOpen or VerdictRefuse for an
 // upload that waited to be opened, VerdictTurn for an open one. It returns false if
 // there is none.
 func (t *Turns) Next(now time.Time) (Flow, Verdict, bool) {
+	t.measure(now)
 	t.lapse(now)
 	for len(t.line) > 0 && len(t.holders) < t.Places() {
-		u := t.line[0]
-		t.line, u.queued = slices.Delete(t.line, 0, 1), false
+		i := t.first(now)
+		u := t.line[i]
+		t.line, u.queued = slices.Delete(t.line, i, i+1), false
 		if now.After(u.GiveUpAt) {
 			if u.opened {
 				continue
@@ -210,7 +251,7 @@
 		if u.opened || now.Before(u.ArrivedAt.Add(t.OpenLimit)) {
 			continue
 		}
-		if !t.inTime(now, u, i) {
+		if t.carriedAt(now, u, i).After(u.GiveUpAt) {
 			t.end(u.Flow)
 			return u.Flow, VerdictRefuse, true
 		}
@@ -247,12 +288,13 @@
 }
 
 // Sent records that n bytes of an upload were sent, and reports whether it has a turn
-// still. One that has sent much more than others goes behind those that wait.
+// still. One that has sent more than others goes behind those that wait.
 func (t *Turns) Sent(now time.Time, flow Flow, n int) bool {
 	u := t.uploads[flow]
 	if u == nil {
 		return false
 	}
+	t.sentBytes += float64(n)
 	u.bytes += float64(n)
 	u.turnBytes += float64(n)
 	u.lastPacketAt = now
--- a/internal/cropaque/uplink.go
+++ b/internal/cropaque/uplink.go
@@ -135,7 +135,9 @@
 		s.place(now, f, route)
 		return
 	}
-	request := cregress.Request{Flow: cregress.Flow(f.key), ArrivedAt: f.arrivedAt, GiveUpAt: f.arrivedAt.Add(route.Timeout.D())}
+	request := cregress.Request{
+		Flow: cregress.Flow(f.key), ArrivedAt: f.arrivedAt, TargetAt: f.arrivedAt.Add(route.Target.D()), GiveUpAt: f.arrivedAt.Add(route.Timeout.D()),
+	}
 	switch s.uplink.turns.Arrive(now, request) {
 	case cregress.VerdictRefuse:
 		s.refuseUpload(now, f)
