cropaque: an upload that another balancer may have opened isn't refused

Cause: an upload that waited for its turn was refused although a copy of its opening packet may have come through another balancer, and the time that it waited counted against the time for which a flow is held while no agent takes it. The line was scanned for each packet.

Change: refuse only if all copies came through this balancer, else place it; subtract the wait; remember when the next upload in line must be opened.

--- a/internal/cregress/turns.go
+++ b/internal/cregress/turns.go
@@ -80,6 +80,8 @@
 	uploads map[Flow]*upload
 	// holders are the uploads with a turn, line those that wait for one, in order.
 	holders, line []*upload
+	// openAt is at or before the time when the next upload in line has to be opened.
+	openAt time.Time
 	// accounts counts the uploads of each client account.
 	accounts map[netip.Addr]int
 	// meanBytes is the average size of an upload on the link.
@@ -176,6 +178,14 @@
 // enqueue adds an upload to the line.
 func (t *Turns) enqueue(u *upload) {
 	t.line, u.queued = slices.Insert(t.line, t.position(u), u), true
+	t.openBy(u)
+}
+
+// openBy has the line looked at when an upload in it must be opened.
+func (t *Turns) openBy(u *upload) {
+	if at := u.ArrivedAt.Add(t.OpenLimit); !u.opened && (t.openAt.IsZero() || at.Before(t.openAt)) {
+		t.openAt = at
+	}
 }
 
 // measure updates the rate that uploads get.
@@ -247,6 +257,14 @@
 		t.grant(now, u)
 		return u.Flow, verdict, true
 	}
+	return t.nextLate(now)
+}
+
+// nextLate decides about an upload in line that would time out while it opens.
+func (t *Turns) nextLate(now time.Time) (Flow, Verdict, bool) {
+	if t.openAt.IsZero() || now.Before(t.openAt) {
+		return Flow{}, VerdictWait, false
+	}
 	for i, u := range t.line {
 		if u.opened || now.Before(u.ArrivedAt.Add(t.OpenLimit)) {
 			continue
@@ -258,6 +276,10 @@
 		u.opened = true
 		return u.Flow, VerdictOpen, true
 	}
+	t.openAt = time.Time{}
+	for _, u := range t.line {
+		t.openBy(u)
+	}
 	return Flow{}, VerdictWait, false
 }
 
@@ -347,23 +369,13 @@
 // NextAt returns when Next may have another decision, the zero time if no upload waits
 // for a turn.
 func (t *Turns) NextAt() time.Time {
-	var next time.Time
 	if len(t.line) == 0 {
-		return next
-	}
-	earlier := func(at time.Time) {
-		if next.IsZero() || at.Before(next) {
-			next = at
-		}
-	}
-	for _, u := range t.line {
-		if !u.opened {
-			earlier(u.ArrivedAt.Add(t.OpenLimit))
-		}
+		return time.Time{}
 	}
+	next := t.openAt
 	for _, u := range t.holders {
-		if !t.Waits(u.Flow) {
-			earlier(u.pauseAt)
+		if !t.Waits(u.Flow) && (next.IsZero() || u.pauseAt.Before(next)) {
+			next = u.pauseAt
 		}
 	}
 	return next
--- a/internal/cropaque/balancerflow.go
+++ b/internal/cropaque/balancerflow.go
@@ -45,6 +45,8 @@
 	lookedUpAt time.Time
 	// otherTakers are agents that took the flow after its owner had.
 	otherTakers []*peer
+	// turnWait is how long the flow waited for its turn on the link.
+	turnWait time.Duration
 	// mayQueue marks the round whose offers may be queued by an agent.
 	mayQueue bool
 	// agentFull is set when an agent had no free slot in this round.
--- a/internal/cropaque/placement.go
+++ b/internal/cropaque/placement.go
@@ -128,7 +128,7 @@
 // caller is reset at once, as a full backend server stays full for longer than
 // maxHold.
 func (s *Steering) holdOrReset(now time.Time, f *balancerFlow, route *crdoc.Route) {
-	if f.mayQueue || now.Sub(f.arrivedAt) >= min(maxHold, route.Timeout.D()/4) {
+	if f.mayQueue || now.Sub(f.arrivedAt)-f.turnWait >= min(maxHold, route.Timeout.D()/4) {
 		s.LogDecision(Decision{Event: "caller is reset: no agent takes the flow", Key: f.key, Age: now.Sub(f.arrivedAt), Revision: s.view.Revision})
 		delete(s.flows, f.key)
 		s.ResetFlow(f.key, 0)
--- a/internal/cropaque/uplink.go
+++ b/internal/cropaque/uplink.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"cardamomring.dev/internal/cregress"
+	"cardamomring.dev/pkg/crdoc"
 )
 
 const (
@@ -140,7 +141,7 @@
 	}
 	switch s.uplink.turns.Arrive(now, request) {
 	case cregress.VerdictRefuse:
-		s.refuseUpload(now, f)
+		s.refuseUpload(now, f, route)
 	case cregress.VerdictOpen:
 		s.observeTurn(0)
 		s.place(now, f, route)
@@ -148,8 +149,13 @@
 	s.runUplink(now)
 }
 
-// refuseUpload resets the caller of an upload that was never opened.
-func (s *Steering) refuseUpload(now time.Time, f *balancerFlow) {
+// refuseUpload resets the caller of an upload that was never opened. It is placed
+// instead if a copy of its opening packet may have opened it by way of another balancer.
+func (s *Steering) refuseUpload(now time.Time, f *balancerFlow, route *crdoc.Route) {
+	if !f.sawAllCopies(now) {
+		s.place(now, f, route)
+		return
+	}
 	s.LogDecision(Decision{
 		Event: "caller is reset: the link can't carry the upload in time", Key: f.key, Age: now.Sub(f.arrivedAt), Load: s.turnLoad(),
 		Revision: s.view.Revision,
@@ -258,11 +264,12 @@
 		s.uplink.turns.End(flow)
 		return
 	}
+	wait := now.Sub(f.arrivedAt)
+	f.turnWait = wait
 	if verdict == cregress.VerdictRefuse {
-		s.refuseUpload(now, f)
+		s.refuseUpload(now, f, route)
 		return
 	}
-	wait := now.Sub(f.arrivedAt)
 	s.observeTurn(wait)
 	s.LogDecision(Decision{Event: "upload waited for its turn", Key: f.key, Age: wait, Load: s.turnLoad(), Revision: s.view.Revision, Routine: true})
 	s.place(now, f, route)
--- a/internal/cropaque/uplink_test.go
+++ b/internal/cropaque/uplink_test.go
@@ -200,3 +200,32 @@
 		}
 	}
 }
+
+// TestUploadRefusal checks that uploads which the link can't carry in time are reset at
+// once and before any agent got them, and that none is reset whose first copy may have
+// opened it by way of another balancer.
+func TestUploadRefusal(t *testing.T) {
+	for name, age := range map[string]time.Duration{"first copy": 0, "later copy": 200 * time.Millisecond} {
+		t.Run(name, func(t *testing.T) {
+			r := newUplinkRig(thinLink, true)
+			for caller := range 200 {
+				r.packet(caller, cropaque.Packet{Open: true, Age: age})
+			}
+			offered := map[cropaque.Key]bool{}
+			for _, f := range r.frames {
+				offered[f.Key] = true
+			}
+			for _, key := range r.resets {
+				if offered[key] {
+					t.Errorf("%s is reset although an agent got it", key.Caller)
+				}
+			}
+			if (len(r.resets) > 0) != (age == 0) {
+				t.Errorf("%d resets", len(r.resets))
+			}
+			if got := len(offered) + len(r.resets) + r.steering.UplinkStats().Waiting; got != 200 {
+				t.Errorf("%d of 200 uploads are offered, reset or wait", got)
+			}
+		})
+	}
+}
