cradmit, cragent: an agent tests its failing backend server itself although others have room

Cause: while its backend server fails an agent reports full load, and hands every request to a less loaded agent, also the one that the limit allows as a probe. Only a result ends the probing, so a backend server that had been unreachable once got no request again as long as another agent had room.

Change: Admission.ProbeDue; a request that is due as a probe isn't handed on.

--- a/internal/cradmit/load.go
+++ b/internal/cradmit/load.go
@@ -17,6 +17,22 @@
 		len(a.running) < a.routineLimit(now)
 }
 
+// ProbeDue reports whether the next request should test whether the failing backend
+// server has recovered, although other agents have room for it. Without such a request
+// the backend server would stay out of use, because only a result ends the probing. A
+// request that may not be repeated is used only after none that may has come for a
+// while: if its test fails, its caller may be left without an answer.
+func (a *Admission) ProbeDue(repeatable bool, now time.Time) bool {
+	if !a.limit.probing || len(a.running)+a.Queued() > 0 {
+		return false
+	}
+	due := a.limit.probeAt
+	if !repeatable {
+		due = due.Add(maxProbeDelay)
+	}
+	return !now.Before(due)
+}
+
 // Load returns the load of the backend server in percent. From 100 on, it has no
 // capacity for more requests. Near the limit, the load rises steeply with the
 // used share of the limit. Far below the limit, the load follows the number of
--- a/internal/cragent/limiter.go
+++ b/internal/cragent/limiter.go
@@ -138,6 +138,13 @@
 	return l.admission.LoadFor(class, time.Now())
 }
 
+// probeDue reports whether the backend server should be tested with the next request.
+func (l *limiter) probeDue(repeatable bool) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.admission.ProbeDue(repeatable, time.Now())
+}
+
 // limit returns the current limit.
 func (l *limiter) limit() int {
 	l.mu.Lock()
--- a/internal/cragent/peers.go
+++ b/internal/cragent/peers.go
@@ -77,8 +77,11 @@
 // forward sends a request to a less loaded agent before any other try. This
 // evens out the load of backend servers of different speed. It returns false if
 // the request must still run on this agent's own backend server: it was not
-// forwarded, or its answer allows a retry.
+// forwarded, its answer allows a retry, or the backend server is due for a test.
 func (a *Agent) forward(ctx context.Context, req *crrun.Request, class crdoc.Class, tried map[string]bool) (crrun.Answer, bool) {
+	if a.limiter.probeDue(class.Repeatable) {
+		return crrun.Answer{}, false
+	}
 	load := a.limiter.loadFor(class.Name)
 	if (class.Priority || !class.Repeatable) && load < fullLoadPercent {
 		return crrun.Answer{}, false
