cropaque: an agent's silence is proved by witnesses

On small balancers whose links are full of uploads, pings and answers are lost or late for seconds.

A silent agent is now tested every 125 ms together with three agents that answer. It fails a test only if all of these answer within the interval, and is lost after six failed tests, and no sooner than after three times its slowest recent answer. Pings carry a number that pongs repeat, so that late answers don't pass for answers in time.

--- a/internal/cropaque/callers_test.go
+++ b/internal/cropaque/callers_test.go
@@ -7,6 +7,9 @@
 	"cardamomring.dev/internal/cropaque"
 )
 
+// fullPacketBytes is the size of the data of a long request's packets.
+const fullPacketBytes = 1200
+
 // addLoad makes callers send requests at a rate during d.
 func (sim *simulation) addLoad(rate float64, d time.Duration, repeatable bool) {
 	for at := time.Duration(0); at < d; at += time.Duration(sim.rnd.ExpFloat64() / rate * float64(time.Second)) {
@@ -133,18 +136,26 @@
 	sim.sendToBalancer(att, cropaque.Packet{
 		From: att.key.Caller, To: att.key.Service, Ack: true, Seq: 8, Acked: att.isn + 1, Size: 100,
 	})
+	for range sim.size.requestPackets {
+		sim.sendToBalancer(att, cropaque.Packet{
+			From: att.key.Caller, To: att.key.Service, Ack: true, Seq: 108, Acked: att.isn + 1, Size: fullPacketBytes,
+		})
+	}
 	sim.after(retryDelay, func() { sim.sendRequest(att, min(2*retryDelay, 1600*time.Millisecond)) })
 }
 
 // resetCaller resets the flow of a caller.
 func (sim *simulation) resetCaller(key cropaque.Key) {
-	att := sim.attempts[key]
-	if att != nil && att.opened && !att.ended && att.agent != nil && !att.agent.server.down && att.agent.server.flows[key] != nil {
-		sim.brokenFlows++
-		sim.broken = append(sim.broken, key)
-	}
 	sim.after(callerDelay, func() {
-		if att != nil && !att.ended && sim.isWaiting(att.request) {
+		att := sim.attempts[key]
+		if att == nil || att.ended {
+			return
+		}
+		if att.opened && att.agent != nil && !att.agent.server.down && att.agent.server.flows[key] != nil {
+			sim.brokenFlows++
+			sim.broken = append(sim.broken, key)
+		}
+		if sim.isWaiting(att.request) {
 			sim.failAttempt(att)
 		}
 	})
--- a/internal/cropaque/frame.go
+++ b/internal/cropaque/frame.go
@@ -24,6 +24,7 @@
 	fieldFailurePermille
 	fieldAge
 	fieldOwner
+	fieldNumber
 )
 
 // errInvalidFrame is returned for bytes that don't encode a frame.
@@ -45,6 +46,7 @@
 	b = appendNumber(b, fieldFailurePermille, uint64(f.Load.FailurePermille))
 	b = appendNumber(b, fieldAge, uint64(f.Age/time.Microsecond))
 	b = appendAddr(b, fieldOwner, f.Owner)
+	b = appendNumber(b, fieldNumber, f.Number)
 	if len(f.Data) > 0 {
 		b = protowire.AppendTag(b, fieldData, protowire.BytesType)
 		b = protowire.AppendBytes(b, f.Data)
@@ -107,6 +109,8 @@
 		f.Load.FailurePermille = int(v)
 	case fieldAge:
 		f.Age = time.Duration(v) * time.Microsecond
+	case fieldNumber:
+		f.Number = v
 	case fieldMeanLatency:
 		f.Load.MeanLatency = time.Duration(v) * time.Microsecond
 	}
--- a/internal/cropaque/gate.go
+++ b/internal/cropaque/gate.go
@@ -188,7 +188,7 @@
 	case FrameHint:
 		g.hints.store(now, f.Key, from)
 	case FramePing:
-		g.Reply(from, &Frame{Kind: FramePong, Load: g.load(now)})
+		g.Reply(from, &Frame{Kind: FramePong, Number: f.Number, Load: g.load(now)})
 	}
 }
 
--- a/internal/cropaque/link_test.go
+++ b/internal/cropaque/link_test.go
@@ -10,14 +10,17 @@
 	// headerBytes is the size of the headers of a datagram below its data, and
 	// packetHeadBytes the head of a flow's packet in the data.
 	headerBytes, packetHeadBytes = 28, 32
-	// maxQueueTime is how much work may wait at a bottleneck. Datagrams beyond it
-	// are lost, as in the buffer of a socket or a link.
-	maxQueueTime = time.Second
+	// defaultMaxQueue is how much work may wait at a bottleneck unless the
+	// deployment says otherwise.
+	defaultMaxQueue = time.Second
 )
 
 // bottleneck carries one datagram at a time, in order of arrival.
 type bottleneck struct {
 	freeAt time.Time
+	// maxQueue is how much work may wait. Datagrams beyond it are lost, as in the
+	// buffer of a socket or a link.
+	maxQueue time.Duration
 }
 
 // pass returns after which time a datagram that arrives now has passed, and
@@ -26,7 +29,7 @@
 	if l.freeAt.Before(now) {
 		l.freeAt = now
 	}
-	if l.freeAt.Sub(now) > maxQueueTime {
+	if l.freeAt.Sub(now) > l.maxQueue {
 		return 0, false
 	}
 	l.freeAt = l.freeAt.Add(cost)
--- a/internal/cropaque/packet.go
+++ b/internal/cropaque/packet.go
@@ -124,6 +124,8 @@
 	// Age is how long the caller of an offered flow has waited so far.
 	Age  time.Duration
 	Load Load
+	// Number is chosen by a balancer; the answer repeats it.
+	Number uint64
 	// Owner is the agent that owns the flow of a FrameElsewhere.
 	Owner netip.AddrPort
 	// Data is the datagram of an offer, a carried packet or a returned packet.
--- a/internal/cropaque/peer.go
+++ b/internal/cropaque/peer.go
@@ -8,13 +8,6 @@
 )
 
 const (
-	// silentAgentTimeout is how long an agent may leave frames unanswered
-	// before callers are reset: those of its repeatable flows, or all once it
-	// is no longer a member.
-	silentAgentTimeout = time.Second
-	// minUnansweredPings is how many pings an agent must leave unanswered before
-	// callers are reset: a single datagram may be lost.
-	minUnansweredPings = 3
 	// pingInterval is how long a balancer waits for a frame of an agent that
 	// it sends to before it pings the agent, and the least time between two
 	// pings.
@@ -32,8 +25,14 @@
 	// unansweredSince is when the oldest frame since the last answer was sent,
 	// zero if none is unanswered. pingedAt is when the last ping was sent.
 	unansweredSince, pingedAt time.Time
-	// unansweredPings counts the pings since the last answer.
-	unansweredPings int
+	// slowestAnswer is the longest time that a recent answer took, measured at
+	// slowestAt.
+	slowestAnswer time.Duration
+	slowestAt     time.Time
+	// testAnswered is the number of the latest test that the agent has answered,
+	// failedTests counts the tests that it has failed since its last frame.
+	testAnswered uint64
+	failedTests  int
 	// offersSinceReport counts the offers that load doesn't include yet.
 	offersSinceReport int
 	// refusedAt is when the agent last refused a flow, refusalReason why. The
@@ -68,10 +67,14 @@
 	if !s.control.take(now, 1) {
 		return
 	}
+	s.sendPing(now, p)
+}
+
+// sendPing sends a ping, which is part of the test that runs.
+func (s *Steering) sendPing(now time.Time, p *peer) {
 	p.pingedAt = now
-	p.unansweredPings++
 	s.markUnanswered(now, p)
-	s.Send(p.addr, &Frame{Kind: FramePing})
+	s.Send(p.addr, &Frame{Kind: FramePing, Number: s.test.number})
 }
 
 // markUnanswered records that an agent has a frame to answer.
@@ -86,37 +89,6 @@
 	return !p.unansweredSince.IsZero() && now.Sub(p.unansweredSince) >= s.answers.timeout()
 }
 
-// lost reports whether an agent has been silent for so long that its callers may be
-// reset.
-func (p *peer) lost(now time.Time) bool {
-	return !p.unansweredSince.IsZero() && now.Sub(p.unansweredSince) >= silentAgentTimeout && p.unansweredPings >= minUnansweredPings
-}
-
-// resetIfOwnerSilent resets the caller of a flow whose agent has been silent
-// for long, if the agent is no longer a member or the caller may repeat its
-// request. Other callers may still get their answers, and a reset would not
-// help them.
-func (s *Steering) resetIfOwnerSilent(now time.Time, key Key, f *balancerFlow) {
-	p := f.owner
-	if p.removed || s.peers[p.addr] != p {
-		s.ping(now, p)
-	}
-	if !p.lost(now) {
-		return
-	}
-	route := s.routes[key.Service]
-	if !p.removed && (route == nil || !route.Repeatable) {
-		return
-	}
-	event := "caller is reset: its agent is silent"
-	if p.removed {
-		event = "caller is reset: its agent is silent and no member any more"
-	}
-	s.LogDecision(Decision{Event: event, Key: key, Agent: p.addr, Age: now.Sub(p.lastFrameAt)})
-	delete(s.flows, key)
-	s.ResetFlow(key, f.callerAck)
-}
-
 // contains reports whether an agent is in a list of a few.
 func contains(list []*peer, p *peer) bool {
 	for _, q := range list {
--- a/internal/cropaque/simulation_test.go
+++ b/internal/cropaque/simulation_test.go
@@ -1,6 +1,7 @@
 package cropaque_test
 
 import (
+	"cmp"
 	"container/heap"
 	"encoding/binary"
 	"fmt"
@@ -188,6 +189,11 @@
 	// datagram; 0 means without limit.
 	linkBytes    float64
 	datagramCost time.Duration
+	// maxQueue is how much work may wait at a link or a processor, defaultMaxQueue
+	// if 0.
+	maxQueue time.Duration
+	// requestPackets is how many more packets of full size a request has than one.
+	requestPackets int
 	// controlFrames is the balancers' limit of frames for lookups and pings.
 	controlFrames float64
 }
@@ -254,6 +260,9 @@
 		sim: sim, zone: zone, addr: machineAddr(2, i), inRotation: true,
 		frames: map[cropaque.FrameKind]int{}, frameBytes: map[cropaque.FrameKind]int{},
 	}
+	for _, l := range []*bottleneck{&b.ingress, &b.egress, &b.processor} {
+		l.maxQueue = cmp.Or(sim.size.maxQueue, defaultMaxQueue)
+	}
 	b.start()
 	sim.balancers = append(sim.balancers, b)
 }
@@ -373,7 +382,11 @@
 			}
 			b.sim.after(sent+zoneDelay(b.zone, a.zone)+b.sim.agentDelay, func() { a.handleFrame(b, &frame) })
 		},
-		ResetFlow: func(key cropaque.Key, _ uint32) { b.sim.resetCaller(key) },
+		ResetFlow: func(key cropaque.Key, _ uint32) {
+			if sent, ok := b.egress.pass(b.sim.now, b.sim.transferTime(headerBytes+packetHeadBytes)); ok {
+				b.sim.after(sent, func() { b.sim.resetCaller(key) })
+			}
+		},
 	}
 	b.steering.Init()
 }
--- a/internal/cropaque/steering.go
+++ b/internal/cropaque/steering.go
@@ -69,6 +69,9 @@
 	// was late and handled no timers.
 	nextTickAt time.Time
 	inGrace    bool
+	// suspects are the silent agents that test tests.
+	suspects []*peer
+	test     silenceTest
 }
 
 // Init prepares the steering for use.
@@ -208,7 +211,7 @@
 	if !p.unansweredSince.IsZero() {
 		s.answers.record(now.Sub(p.unansweredSince))
 	}
-	p.lastFrameAt, p.unansweredSince, p.unansweredPings = now, time.Time{}, 0
+	p.recordAnswer(now, fr)
 	if fr.Kind == FrameLeave {
 		p.drainingAt = now
 		return
@@ -257,6 +260,7 @@
 		s.sweptAt = now
 		s.sweep(now)
 	}
+	s.testSilentAgents(now)
 	s.nextTickAt = s.nextTick()
 }
 
@@ -286,8 +290,7 @@
 	}
 }
 
-// sweep removes old flows, pings silent agents, and resets callers whose agent
-// has been silent for long.
+// sweep removes old flows, pings silent agents, and finds those to test.
 func (s *Steering) sweep(now time.Time) {
 	for _, p := range s.peers {
 		if !p.unansweredSince.IsZero() {
@@ -297,12 +300,9 @@
 	for key, f := range s.flows {
 		if now.Sub(f.lastPacketAt) > flowRetention {
 			delete(s.flows, key)
-			continue
-		}
-		if f.phase == phaseOwned && !f.ended {
-			s.resetIfOwnerSilent(now, key, f)
 		}
 	}
+	s.findSuspects(now)
 }
 
 // HasTimers reports whether any flow waits for a timer.
@@ -322,5 +322,8 @@
 	if len(s.timers) > 0 && s.timers[0].at.Before(next) {
 		next = s.timers[0].at
 	}
+	if at, running := s.test.nextAt(); running && at.Before(next) {
+		next = at
+	}
 	return next
 }
