--- a/cmd/cardamomring/script_http_test.go
+++ b/cmd/cardamomring/script_http_test.go
@@ -99,8 +99,9 @@
 
 	mu                       sync.Mutex
 	answered, refused, wrong int
-	// failures describes each wrong answer.
+	// failures describes each wrong answer, reasons counts the refusals by reason.
 	failures []string
+	reasons  map[string]int
 }
 
 // loadKey is the key of the load that start-load has left running.
@@ -144,7 +145,7 @@
 	}
 	n, err := strconv.Atoi(args[1])
 	ts.Check(err)
-	t := &loadCounter{}
+	t := &loadCounter{reasons: map[string]int{}}
 	for range loadWorkers {
 		t.workers.Go(func() { t.run(args[0], n, args[2:]) })
 	}
@@ -170,6 +171,9 @@
 	t.workers.Wait()
 	fmt.Fprintf(ts.Stdout(), "answered %d, refused %d, wrong %d\n%s",
 		t.answered, t.refused, t.wrong, strings.Join(t.failures, "\n"))
+	for answer, n := range t.reasons {
+		fmt.Fprintf(ts.Stdout(), "refused %d: %s\n", n, answer)
+	}
 }
 
 // send sends one request; the fake backend server repeats its body.
@@ -197,6 +201,7 @@
 		t.answered++
 	case status == http.StatusServiceUnavailable && strings.Contains(answer, `"notrun"`):
 		t.refused++
+		t.reasons[strings.TrimSpace(answer)]++
 	default:
 		t.wrong++
 		t.failures = append(t.failures, fmt.Sprintf("%s: status %d: %s", body, status, answer))
