--- a/internal/cropaque/steering.go
+++ b/internal/cropaque/steering.go
@@ -79,6 +79,9 @@
 	// uplink shares the link between uploads; nil without an upload route or a known
 	// link.
 	uplink *uplink
+	// suspects are the silent agents that test tests.
+	suspects []*peer
+	test     silenceTest
 }
 
 // Init prepares the steering for use.
@@ -222,7 +225,7 @@
 	if !p.unansweredSince.IsZero() {
 		s.answers.record(now.Sub(p.unansweredSince))
 	}
-	p.lastFrameAt, p.unansweredSince, p.unansweredPings = now, time.Time{}, 0
+	p.recordAnswer(now, fr)
 	if fr.Kind == FrameLeave {
 		p.drainingAt = now
 		return
@@ -272,6 +275,7 @@
 		s.sweptAt = now
 		s.sweep(now)
 	}
+	s.testSilentAgents(now)
 	s.nextTickAt = s.nextTick()
 }
 
@@ -301,8 +305,7 @@
 	}
 }
 
-// sweep removes old flows, pings silent agents, and resets callers whose agent
-// has been silent for long.
+// sweep removes old flows, pings silent agents, and finds those to test.
 func (s *Steering) sweep(now time.Time) {
 	for _, p := range s.peers {
 		if !p.unansweredSince.IsZero() {
@@ -315,12 +318,9 @@
 	for key, f := range s.flows {
 		if now.Sub(f.lastPacketAt) > flowRetention {
 			delete(s.flows, key)
-			continue
-		}
-		if f.phase == phaseOwned && !f.ended {
-			s.resetIfOwnerSilent(now, key, f)
 		}
 	}
+	s.findSuspects(now)
 }
 
 // HasTimers reports whether any flow waits for a timer or for the link.
@@ -343,5 +343,8 @@
 	if at := s.uplinkNextAt(); !at.IsZero() && at.Before(next) {
 		next = at
 	}
+	if at, running := s.test.nextAt(); running && at.Before(next) {
+		next = at
+	}
 	return next
 }
