cregress: a large datagram or unknown flows don't hold up uploads

Cause: a datagram larger than a burst could never be sent and held up all others until its caller gave up; packets of flows that no agent owns took turns; packets of an earlier flow from the same port stayed in the queue; a time before the last one was counted twice.

Change: a large packet needs a whole burst; only flows with a known owner take turns; a new flow drops what waits of an earlier one; earlier times are ignored.

--- a/internal/cregress/queue.go
+++ b/internal/cregress/queue.go
@@ -92,7 +92,10 @@
 
 // Advance accounts for what the link has carried until now.
 func (q *Queue) Advance(now time.Time) {
-	if !q.updatedAt.IsZero() && now.After(q.updatedAt) {
+	if !now.After(q.updatedAt) {
+		return
+	}
+	if !q.updatedAt.IsZero() {
 		q.tokens = min(q.Burst, q.tokens+now.Sub(q.updatedAt).Seconds()*q.Rate)
 	}
 	q.updatedAt = now
@@ -106,7 +109,11 @@
 
 // Idle reports whether a packet of n bytes can be sent at once: nothing waits, and the
 // link's own queue has room.
-func (q *Queue) Idle(n int) bool { return q.packets == 0 && q.tokens >= float64(n) }
+func (q *Queue) Idle(n int) bool { return q.packets == 0 && q.hasRoom(n) }
+
+// hasRoom reports whether the link's own queue has room for n bytes. A packet larger
+// than a burst needs a whole one.
+func (q *Queue) hasRoom(n int) bool { return q.tokens >= min(q.Burst, float64(n)) }
 
 // Push adds a packet that waits; turn tells whether its flow has a turn.
 func (q *Queue) Push(p Packet, turn bool) {
@@ -220,7 +227,7 @@
 				q.popHead(f)
 				continue
 			}
-			if q.tokens < float64(head.Bytes) {
+			if !q.hasRoom(head.Bytes) {
 				return Packet{}, false
 			}
 			if f.deficit < head.Bytes {
--- a/internal/cregress/queue_test.go
+++ b/internal/cregress/queue_test.go
@@ -97,3 +97,21 @@
 		t.Errorf("sent in 160 ms (-want +got):\n%s", diff)
 	}
 }
+
+// TestOversizedPacket checks that a packet larger than a burst holds nobody up for longer
+// than the link takes for it.
+func TestOversizedPacket(t *testing.T) {
+	q := newQueue(100)
+	q.Push(cregress.Packet{Flow: flowOf(1, 1), Bytes: 7 * packetBytes, GiveUpAt: start.Add(time.Second)}, true)
+	push(q, flowOf(2, 1), 0)
+	if diff := cmp.Diff([]string{"2/0", "1/0"}, sent(q, 20*time.Millisecond)); diff != "" {
+		t.Errorf("sent in 20 ms (-want +got):\n%s", diff)
+	}
+	push(q, flowOf(2, 1), 1)
+	if got := sent(q, 55*time.Millisecond); len(got) > 0 {
+		t.Errorf("sent while the link is busy: %v", got)
+	}
+	if diff := cmp.Diff([]string{"2/1"}, sent(q, 90*time.Millisecond)); diff != "" {
+		t.Errorf("sent in 90 ms (-want +got):\n%s", diff)
+	}
+}
--- a/internal/cropaque/uplink.go
+++ b/internal/cropaque/uplink.go
@@ -136,8 +136,11 @@
 		s.place(now, f, route)
 		return
 	}
+	flow := cregress.Flow(f.key)
+	// Packets of an earlier flow from the same port may wait.
+	s.uplink.queue.Drop(flow)
 	request := cregress.Request{
-		Flow: cregress.Flow(f.key), ArrivedAt: f.arrivedAt, TargetAt: f.arrivedAt.Add(route.Target.D()), GiveUpAt: f.arrivedAt.Add(route.Timeout.D()),
+		Flow: flow, ArrivedAt: f.arrivedAt, TargetAt: f.arrivedAt.Add(route.Target.D()), GiveUpAt: f.arrivedAt.Add(route.Timeout.D()),
 	}
 	switch s.uplink.turns.Arrive(now, request) {
 	case cregress.VerdictRefuse:
@@ -178,7 +181,8 @@
 }
 
 // carry forwards a packet of an existing flow. Packets with data of uploads wait while
-// the link is busy.
+// the link is busy. Those of a flow without a known owner take no turn, since it may not
+// exist.
 func (s *Steering) carry(now time.Time, f *balancerFlow, p Packet, data []byte) {
 	if !s.sharesUplink(f.key) {
 		s.forward(now, f, data)
@@ -191,7 +195,7 @@
 	if p.Reset {
 		s.uplink.queue.Drop(flow)
 	}
-	if p.Size == 0 {
+	if p.Size == 0 || f.phase != phaseOwned {
 		s.forward(now, f, data)
 		s.runUplink(now)
 		return
@@ -199,7 +203,7 @@
 	timeout := s.routes[f.key.Service].Timeout.D()
 	turn := p.End || s.uplink.turns.Carry(now, flow, f.arrivedAt.Add(timeout))
 	bytes := frameOverhead + len(data)
-	if f.phase != phaseOwned || s.uplink.queue.Idle(bytes) {
+	if s.uplink.queue.Idle(bytes) {
 		s.observeUplink(0)
 		s.forward(now, f, data)
 		s.uplink.turns.Sent(now, flow, bytes)
--- a/internal/cropaque/uplink_test.go
+++ b/internal/cropaque/uplink_test.go
@@ -229,3 +229,19 @@
 		})
 	}
 }
+
+// TestUnknownUploadsTakeNoTurn checks that packets of flows that no agent owns don't keep
+// an upload from being opened.
+func TestUnknownUploadsTakeNoTurn(t *testing.T) {
+	r := newUplinkRig(thinLink, true)
+	for caller := range 100 {
+		r.steering.HandlePacket(r.now, cropaque.Packet{
+			From: netip.AddrPortFrom(netip.AddrFrom4([4]byte{100, 65, 0, byte(caller)}), 1), To: uploadAddr, Ack: true, Seq: 1, Size: wholePacket,
+		}, make([]byte, wholePacket+32))
+	}
+	r.answers = nil
+	r.packet(1, cropaque.Packet{Open: true})
+	if got := r.countFrames(cropaque.FrameOffer); got != 1 {
+		t.Errorf("%d offers", got)
+	}
+}
