cropaque: a flow's opening is rejected on proof only

On a full link, offers and answers are lost or late, resets wait in the queue, and callers' packets move to another balancer when checks of readiness are lost. A balancer reset callers whose flow an agent had taken, whose answer was late ('no agent takes the flow'), and answered one copy of an opening packet with a reset while it placed the next one.

A caller is now reset only if every agent that got the opening packet has refused the last offer it got, or has given it back, and all copies that the caller can have sent came through this balancer, counting how late the balancer itself is. Offers carry a number that answers repeat. Otherwise a late answer or the next copy decides. A flow that is given back soon is offered to another agent. An agent that has given a flow back drops a late acceptance of its backend server, keeps a flow whose server returns only another copy, and no longer forgets what its server has sent when that repeats its handshake.

--- a/internal/cropaque/admission.go
+++ b/internal/cropaque/admission.go
@@ -13,30 +13,34 @@
 	queueWaitShare = 0.5
 	// callerOpenTimeout is how long a caller waits for its flow to open.
 	callerOpenTimeout = 1400 * time.Millisecond
+	// givenBackRetention covers the time in which a caller may still open a flow
+	// that was given back.
+	givenBackRetention = 2 * time.Second
 )
 
 // handleOffer takes, queues or refuses a new flow.
 func (g *Gate) handleOffer(now time.Time, from netip.AddrPort, f *Frame, p Packet) {
 	key := p.KeyFromCaller()
 	if existing := g.flows[key]; existing != nil && existing.callerISN == p.Seq {
-		g.handleDuplicateOpen(now, from, existing, f.Data)
+		g.handleDuplicateOpen(now, from, existing, f)
 		return
 	}
 	route := g.routes[key.Service]
 	if reason := g.refusal(now, route); reason != ReasonNone {
-		g.refuse(now, from, key, reason)
+		g.refuse(now, offerFrom{from, f.Number}, key, reason)
 		return
 	}
 	newFlow := &agentFlow{
-		key: key, balancer: from, callerISN: p.Seq, priority: route.Priority, target: route.Target.D(),
+		key: key, balancer: from, offer: offerFrom{from, f.Number}, callerISN: p.Seq, priority: route.Priority, target: route.Target.D(),
 		timeout: route.Timeout.D(), arrivedAt: now.Add(-f.Age), lastPacketAt: now,
 	}
 	if !g.hasFreeSlot() && (!f.MayQueue || !g.mayQueue(now, newFlow)) {
-		g.refuse(now, from, key, ReasonFull)
+		g.refuse(now, newFlow.offer, key, ReasonFull)
 		return
 	}
+	delete(g.givenBack, key)
 	g.addFlow(newFlow)
-	g.Reply(from, &Frame{Kind: FrameTaken, Key: key, Load: g.load(now)})
+	g.Reply(from, &Frame{Kind: FrameTaken, Key: key, Number: f.Number, Load: g.load(now)})
 	if g.hasFreeSlot() {
 		g.sendOpen(now, newFlow, f.Data)
 		return
@@ -48,12 +52,12 @@
 
 // handleDuplicateOpen handles a copy of an opening packet whose flow was taken
 // before.
-func (g *Gate) handleDuplicateOpen(now time.Time, from netip.AddrPort, f *agentFlow, data []byte) {
-	f.balancer, f.lastPacketAt = from, now
+func (g *Gate) handleDuplicateOpen(now time.Time, from netip.AddrPort, f *agentFlow, fr *Frame) {
+	f.balancer, f.offer, f.lastPacketAt = from, offerFrom{from, fr.Number}, now
 	if f.openPacket == nil {
-		g.ToServer(data)
+		g.ToServer(fr.Data)
 	}
-	g.Reply(from, &Frame{Kind: FrameTaken, Key: f.key, Load: g.load(now)})
+	g.Reply(from, &Frame{Kind: FrameTaken, Key: f.key, Number: fr.Number, Load: g.load(now)})
 }
 
 // refusal returns why no new flow can be taken now, even with free slots, or
@@ -106,9 +110,27 @@
 }
 
 // refuse refuses a flow and sends the reason to its balancer.
-func (g *Gate) refuse(now time.Time, to netip.AddrPort, key Key, reason Reason) {
+func (g *Gate) refuse(now time.Time, to offerFrom, key Key, reason Reason) {
 	g.LogDecision(Decision{Event: "flow is refused", Key: key, Reason: reason, Load: g.load(now), Revision: g.view.Revision, Routine: true})
-	g.Reply(to, &Frame{Kind: FrameRefused, Key: key, Reason: reason, Load: g.load(now)})
+	if !to.balancer.IsValid() {
+		// No balancer has offered it to this agent.
+		return
+	}
+	g.Reply(to.balancer, &Frame{Kind: FrameRefused, Key: key, Number: to.number, Reason: reason, Load: g.load(now)})
+}
+
+// giveBack refuses a flow whose opening packet the backend server got. If the backend
+// server accepts it after all, its answer isn't forwarded: the balancer has reset the
+// caller, or has offered the flow to another agent.
+func (g *Gate) giveBack(now time.Time, f *agentFlow, reason Reason) {
+	g.removeFlow(f)
+	if g.givenBack == nil {
+		g.givenBack = map[Key]time.Time{}
+	}
+	if len(g.givenBack) < maxAgentFlows {
+		g.givenBack[f.key] = now
+	}
+	g.refuse(now, f.offer, f.key, reason)
 }
 
 // sendOpen sends the opening packet to the backend server and reserves a slot.
@@ -136,7 +158,7 @@
 		}
 		if reason := g.refusal(now, g.routes[f.key.Service]); reason != ReasonNone {
 			g.removeFlow(f)
-			g.refuse(now, f.balancer, f.key, reason)
+			g.refuse(now, f.offer, f.key, reason)
 			continue
 		}
 		g.sendOpen(now, f, f.openPacket)
@@ -149,5 +171,5 @@
 func (g *Gate) expire(now time.Time, f *agentFlow) {
 	g.LogDecision(Decision{Event: "flow has waited for too long", Key: f.key, Age: now.Sub(f.arrivedAt), Load: g.load(now)})
 	g.removeFlow(f)
-	g.refuse(now, f.balancer, f.key, ReasonFull)
+	g.refuse(now, f.offer, f.key, ReasonFull)
 }
--- a/internal/cropaque/agentflow.go
+++ b/internal/cropaque/agentflow.go
@@ -14,11 +14,19 @@
 	ackSlack = 2
 )
 
+// offerFrom identifies an offer: the balancer that sent it and its number there.
+type offerFrom struct {
+	balancer netip.AddrPort
+	number   uint64
+}
+
 // agentFlow is the state of a flow on an agent.
 type agentFlow struct {
 	key Key
 	// balancer is the balancer that sent the latest packet of the flow.
 	balancer netip.AddrPort
+	// offer is the latest offer of the flow. A refusal answers it.
+	offer offerFrom
 	// callerISN and serverISN are the initial sequence numbers of both ends.
 	callerISN, serverISN uint32
 	// sentBytes is how many bytes the backend server has sent since serverISN.
--- a/internal/cropaque/backend.go
+++ b/internal/cropaque/backend.go
@@ -110,11 +110,11 @@
 			g.LogDecision(Decision{Event: "caller is reset: its backend server is gone", Key: key, Age: now.Sub(f.lastPacketAt)})
 			g.ResetFlow(key, f.callerAck)
 		default:
-			g.refuse(now, f.balancer, key, ReasonGone)
+			g.refuse(now, f.offer, key, ReasonGone)
 		}
 		delete(g.flows, key)
 	}
-	g.health = health{}
+	g.health, g.givenBack = health{}, nil
 	g.reserved, g.running, g.unanswered, g.reservations, g.queue = 0, 0, nil, nil, nil
 }
 
@@ -141,8 +141,7 @@
 			g.LogDecision(Decision{Event: "backend server is silent", Key: f.key, Age: now.Sub(g.serverSeenAt), Load: g.load(now)})
 			g.ProbeServer()
 		}
-		g.removeFlow(f)
-		g.refuse(now, f.balancer, f.key, ReasonSilent)
+		g.giveBack(now, f, ReasonSilent)
 	}
 }
 
--- a/internal/cropaque/balancerflow.go
+++ b/internal/cropaque/balancerflow.go
@@ -14,6 +14,8 @@
 	phaseLookup
 	// phaseUnowned means that no owner was found.
 	phaseUnowned
+	// phaseRejected means that no agent holds the flow and its caller was reset.
+	phaseRejected
 )
 
 // balancerFlow is the state of a flow on a balancer.
@@ -25,14 +27,22 @@
 	// this balancer got the opening packet.
 	callerISN uint32
 	openSeen  bool
-	// copies counts the opening packets of the flow that this balancer got.
-	copies int
-	// openPacket holds the opening packet until an agent has taken the flow.
+	// copyAges holds the ages of the opening packets that this balancer got, and
+	// firstSentBy is when the caller had sent the first of all.
+	copyAges    []time.Duration
+	firstSentBy time.Time
+	// openPacket holds the opening packet until the flow is open.
 	openPacket []byte
 	// pending holds later packets during a lookup of the owner.
 	pending [][]byte
-	// offered are the agents that got an offer since the flow began.
-	offered []*peer
+	// offers are the agents that got an offer since the flow began, and offerCount
+	// counts their offers.
+	offers     []offer
+	offerCount uint64
+	// rejection is why the flow's opening was ended, if it was, and repeatedOffers
+	// counts the offers that were repeated for that.
+	rejection      Decision
+	repeatedOffers int
 	// asked are the agents that got an offer in this round or a lookup,
 	// answered those that have answered a lookup, and candidates those that
 	// may own the flow.
@@ -63,23 +73,6 @@
 	if p.Ack {
 		f.callerAck = p.Acked
 	}
-	f.opened = true
+	f.opened, f.openPacket = true, nil
 	f.ended = f.ended || p.End || p.Reset
 }
-
-// sawAllCopies reports whether all opening packets that the caller has sent came
-// through this balancer. Otherwise the flow may be open at an agent to which another
-// balancer has offered it.
-func (f *balancerFlow) sawAllCopies(now time.Time) bool {
-	sent := 1
-	for _, delay := range copyDelays {
-		if now.Sub(f.arrivedAt) >= delay {
-			sent++
-		}
-	}
-	return f.copies >= sent
-}
-
-// copyDelays are the times after its first opening packet at which a caller repeats
-// it.
-var copyDelays = []time.Duration{200 * time.Millisecond, 600 * time.Millisecond}
--- a/internal/cropaque/forwarding.go
+++ b/internal/cropaque/forwarding.go
@@ -81,6 +81,10 @@
 	}
 	key := p.KeyFromServer()
 	f := g.flows[key]
+	if _, givenBack := g.givenBack[key]; f == nil && givenBack && p.Open {
+		g.LogDecision(Decision{Event: "late answer of the backend server to a flow that was given back", Key: key})
+		return
+	}
 	if f == nil {
 		f = &agentFlow{key: key, arrivedAt: now, opened: true}
 		g.addFlow(f)
@@ -105,6 +109,8 @@
 		f.sentBytes = sent
 	}
 	switch {
+	case p.Open && p.Ack && f.handshakeAnswered && f.serverISN == p.Seq:
+		// The answer to a copy of the opening packet.
 	case p.Open && p.Ack:
 		f.serverISN, f.sentBytes, f.handshakeAnswered = p.Seq, 0, true
 	case p.Reset:
@@ -133,7 +139,7 @@
 }
 
 // handleReturned handles a packet that the backend server returned. The flow of
-// an opening packet is refused. A later packet of a flow that was open here
+// an opening packet is given back. A later packet of a flow that was open here
 // proves that the backend server has lost the flow.
 func (g *Gate) handleReturned(now time.Time, p Packet, data []byte) {
 	key := p.KeyFromCaller()
@@ -142,9 +148,11 @@
 		return
 	}
 	switch {
+	case p.Open && f.handshakeAnswered:
+		// The backend server has accepted another copy.
+		return
 	case p.Open:
-		g.removeFlow(f)
-		g.refuse(now, f.balancer, key, ReasonFull)
+		g.giveBack(now, f, ReasonFull)
 	case f.handshakeAnswered && f.opened:
 		g.removeFlow(f)
 		if f.ended {
--- a/internal/cropaque/gate.go
+++ b/internal/cropaque/gate.go
@@ -1,6 +1,7 @@
 package cropaque
 
 import (
+	"maps"
 	"net/netip"
 	"time"
 
@@ -80,6 +81,9 @@
 	flows       map[Key]*agentFlow
 	queue       waitQueue
 	hints       hints
+	// givenBack holds when flows were given back whose opening packet the backend
+	// server got.
+	givenBack map[Key]time.Time
 	// reserved counts the flows with a slot reserved for a request that hasn't
 	// arrived, running those with a request in progress.
 	reserved, running int
@@ -224,6 +228,7 @@
 			g.setSlot(f, slotNone)
 		}
 	}
+	maps.DeleteFunc(g.givenBack, func(_ Key, at time.Time) bool { return now.Sub(at) > givenBackRetention })
 	g.health.decay()
 	g.hints.expire(now)
 	g.sendHints()
--- a/internal/cropaque/link_test.go
+++ b/internal/cropaque/link_test.go
@@ -72,8 +72,22 @@
 	b.frameBytes[f.Kind] += b.sim.frameSize(f)
 }
 
-// pollReadiness is the fabric's check of the balancer.
-func (b *balancer) pollReadiness() { b.inRotation = !b.down && b.steering.Ready() }
+// readinessBytes is the size of a check of a balancer's readiness, or of its answer, on
+// the link.
+const readinessBytes = 150
+
+// pollReadiness is the fabric's check of the balancer. It is lost in a full queue. After
+// two that fail, the balancer is out of rotation until one succeeds.
+func (b *balancer) pollReadiness() {
+	cost := b.sim.transferTime(readinessBytes)
+	_, received := b.ingress.pass(b.sim.now, cost)
+	_, sent := b.egress.pass(b.sim.now, cost)
+	b.missedPolls++
+	if received && sent {
+		b.missedPolls = 0
+	}
+	b.inRotation = !b.down && b.steering.Ready() && b.missedPolls < 2
+}
 
 // receive runs handle when the balancer's link, which takes linkTime for it, and
 // its processor have passed a datagram, unless it is lost or the balancer is down
--- a/internal/cropaque/lookup.go
+++ b/internal/cropaque/lookup.go
@@ -65,7 +65,7 @@
 		f.phase, f.pending, f.timerAt = phaseUnowned, nil, time.Time{}
 		return
 	}
-	s.askScope(now, f, f.offered)
+	s.askScope(now, f, f.offeredAgents())
 }
 
 // askScope asks the agents of a scope that haven't answered, or goes on with the next
--- a/internal/cropaque/lookup_test.go
+++ b/internal/cropaque/lookup_test.go
@@ -18,6 +18,8 @@
 	steering *cropaque.Steering
 	now      time.Time
 	sent     []sentFrame
+	// numbers are those of the latest frames sent to agents, which answers repeat.
+	numbers map[netip.AddrPort]uint64
 	// resets counts the resets, resetKeys holds their flows.
 	resets    int
 	resetKeys []cropaque.Key
@@ -31,14 +33,17 @@
 
 // newSteeringHarness returns a balancer in zone a with a view of agents in five zones.
 func newSteeringHarness(agents int, controlFrames float64) *steeringHarness {
-	h := &steeringHarness{now: time.Unix(1_700_000_000, 0)}
+	h := &steeringHarness{now: time.Unix(1_700_000_000, 0), numbers: map[netip.AddrPort]uint64{}}
 	h.steering = &cropaque.Steering{
 		Zone: "a", Random: func() float64 { return 0 }, ViewFresh: func() bool { return true }, ControlFrames: controlFrames,
 		LogDecision: func(cropaque.Decision) {}, ResetFlow: func(key cropaque.Key, _ uint32) {
 			h.resets++
 			h.resetKeys = append(h.resetKeys, key)
 		},
-		Send: func(to netip.AddrPort, f *cropaque.Frame) { h.sent = append(h.sent, sentFrame{to, f.Kind}) },
+		Send: func(to netip.AddrPort, f *cropaque.Frame) {
+			h.sent = append(h.sent, sentFrame{to, f.Kind})
+			h.numbers[to] = f.Number
+		},
 	}
 	h.steering.Init()
 	h.steering.SetView(h.now, viewOf(1, agents))
@@ -88,7 +93,7 @@
 
 // answer answers for an agent.
 func (h *steeringHarness) answer(from netip.AddrPort, kind cropaque.FrameKind, p cropaque.Packet, data []byte) {
-	h.steering.HandleFrame(h.now, from, &cropaque.Frame{Kind: kind, Key: p.KeyFromCaller(), Data: data})
+	h.steering.HandleFrame(h.now, from, &cropaque.Frame{Kind: kind, Key: p.KeyFromCaller(), Number: h.numbers[from], Data: data})
 }
 
 // maxShortListQuestions is how many agents a lookup may ask first, whatever the size
@@ -392,7 +397,9 @@
 			h.answer(agent, cropaque.FrameTaken, p, nil)
 		}
 		h.now = h.now.Add(100 * time.Millisecond)
-		h.steering.HandleFrame(h.now, agent, &cropaque.Frame{Kind: cropaque.FrameRefused, Key: p.KeyFromCaller(), Reason: cropaque.ReasonFull})
+		h.steering.HandleFrame(h.now, agent, &cropaque.Frame{
+			Kind: cropaque.FrameRefused, Key: p.KeyFromCaller(), Number: h.numbers[agent], Reason: cropaque.ReasonFull,
+		})
 		if diff := cmp.Diff(c.resets, h.resets); diff != "" {
 			t.Errorf("resets after %d of 2 opening packets (-want +got):\n%s", c.copies, diff)
 		}
--- a/internal/cropaque/placement.go
+++ b/internal/cropaque/placement.go
@@ -42,17 +42,17 @@
 func (s *Steering) startFlow(now time.Time, p Packet, data []byte) {
 	f := &balancerFlow{
 		key: p.KeyFromCaller(), phase: phaseOpening, arrivedAt: now.Add(-p.Age), lastPacketAt: now,
-		callerISN: p.Seq, openSeen: true, copies: 1,
+		callerISN: p.Seq, openSeen: true,
 		openPacket: append([]byte(nil), data...),
 	}
+	f.recordCopy(now, p)
 	route := s.routes[f.key.Service]
 	switch {
 	case route != nil:
 		s.addFlow(f)
 		s.place(now, f, route)
 	case s.Ready():
-		s.LogDecision(Decision{Event: "caller is reset: no route", Key: f.key, Revision: s.view.Revision})
-		s.ResetFlow(f.key, 0)
+		s.reject(now, f, Decision{Event: "caller is reset: no route"})
 	case len(s.flows) < maxFlowsBeforeView:
 		s.addFlow(f)
 		s.awaitingView = append(s.awaitingView, f)
@@ -72,8 +72,7 @@
 		route := s.routes[f.key.Service]
 		switch {
 		case route == nil:
-			delete(s.flows, f.key)
-			s.ResetFlow(f.key, 0)
+			s.reject(now, f, Decision{Event: "caller is reset: no route"})
 		case now.Sub(f.arrivedAt) >= min(callerOpenTimeout, route.Timeout.D()):
 			// The caller has given up.
 			delete(s.flows, f.key)
@@ -85,21 +84,30 @@
 }
 
 // handleDuplicateOpen handles a copy of an opening packet whose flow is known.
-func (s *Steering) handleDuplicateOpen(now time.Time, f *balancerFlow, data []byte) {
-	f.copies++
-	if f.phase != phaseOwned || f.owner == nil {
-		return
-	}
-	if f.opened {
+func (s *Steering) handleDuplicateOpen(now time.Time, f *balancerFlow, p Packet, data []byte) {
+	f.recordCopy(now, p)
+	switch {
+	case f.phase == phaseRejected:
+		// The reset may be under way or lost.
+		if f.sawAllCopies(now, s.ownDelay(now)) {
+			s.ResetFlow(f.key, 0)
+		}
+	case f.rejected():
+		if route := s.routes[f.key.Service]; route != nil {
+			f.asked, f.mayQueue, f.agentFull, f.repeatedOffers = f.asked[:0], false, false, 0
+			s.place(now, f, route)
+		}
+	case f.phase != phaseOwned || f.owner == nil:
+	case f.opened:
 		s.forward(now, f, data)
-		return
+	default:
+		// The owner forwards the copy to its backend server. If the owner doesn't
+		// answer, the flow is offered to another agent.
+		f.phase = phaseOpening
+		f.asked = append(f.asked[:0], f.owner)
+		f.mayQueue, f.agentFull = false, false
+		s.offer(now, f, f.owner)
 	}
-	// The owner forwards the copy to its backend server. If the owner doesn't
-	// answer, the flow is offered to another agent.
-	f.phase, f.openPacket = phaseOpening, append([]byte(nil), data...)
-	f.asked = append(f.asked[:0], f.owner)
-	f.mayQueue, f.agentFull = false, false
-	s.offer(now, f, f.owner)
 }
 
 // place offers a new flow to the agent that is expected to answer first among
@@ -124,14 +132,12 @@
 }
 
 // holdOrReset schedules another round of offers for a flow that no agent
-// takes, or resets its caller. After a round whose offers may be queued, the
-// caller is reset at once, as a full backend server stays full for longer than
+// takes, or rejects the flow. After a round whose offers may be queued, it
+// is rejected at once, as a full backend server stays full for longer than
 // maxHold.
 func (s *Steering) holdOrReset(now time.Time, f *balancerFlow, route *crdoc.Route) {
 	if f.mayQueue || now.Sub(f.arrivedAt) >= min(maxHold, route.Timeout.D()/4) {
-		s.LogDecision(Decision{Event: "caller is reset: no agent takes the flow", Key: f.key, Age: now.Sub(f.arrivedAt), Revision: s.view.Revision})
-		delete(s.flows, f.key)
-		s.ResetFlow(f.key, 0)
+		s.reject(now, f, Decision{Event: "caller is reset: no agent takes the flow"})
 		return
 	}
 	f.asked, f.mayQueue, f.agentFull, f.owner = f.asked[:0], false, false, nil
@@ -141,12 +147,9 @@
 // offer sends the opening packet to an agent and waits for its answer.
 func (s *Steering) offer(now time.Time, f *balancerFlow, p *peer) {
 	p.offersSinceReport++
-	if !contains(f.offered, p) {
-		f.offered = append(f.offered, p)
-	}
 	s.markUnanswered(now, p)
 	f.owner = p
-	s.Send(p.addr, &Frame{Kind: FrameOffer, Key: f.key, MayQueue: f.mayQueue, Age: now.Sub(f.arrivedAt), Data: f.openPacket})
+	s.Send(p.addr, &Frame{Kind: FrameOffer, Key: f.key, MayQueue: f.mayQueue, Age: now.Sub(f.arrivedAt), Number: f.recordOffer(p), Data: f.openPacket})
 	s.setTimer(now, f, s.answers.timeout())
 }
 
@@ -234,17 +237,21 @@
 // handleTaken handles an agent's answer that it has taken a flow. When two
 // agents have taken the flow, the caller's acknowledgement decides between
 // them: the agent whose backend server it doesn't match returns the packet.
-func (s *Steering) handleTaken(now time.Time, p *peer, f *balancerFlow) {
+func (s *Steering) handleTaken(now time.Time, p *peer, f *balancerFlow, number uint64) {
 	if p.refusalReason != ReasonNone {
 		p.refusalReason = ReasonNone
 	}
+	if f.phase == phaseRejected || f.refusedBy(p, number) {
+		// The answer was overtaken by the return of the flow.
+		return
+	}
 	if f.phase == phaseOwned && f.owner != p {
 		if !contains(f.otherTakers, p) {
 			f.otherTakers = append(f.otherTakers, p)
 		}
 		return
 	}
-	f.owner, f.phase, f.openPacket = p, phaseOwned, nil
+	f.owner, f.phase = p, phaseOwned
 	f.asked, f.timerAt = nil, time.Time{}
 	if s.ObservePlacement != nil {
 		s.ObservePlacement(now.Sub(f.arrivedAt))
@@ -256,28 +263,40 @@
 }
 
 // handleRefused offers a refused flow to another agent.
-func (s *Steering) handleRefused(now time.Time, p *peer, f *balancerFlow, reason Reason) {
-	p.refusedAt, p.refusalReason = now, reason
-	if f == nil || f.owner != p || f.opened {
+func (s *Steering) handleRefused(now time.Time, p *peer, f *balancerFlow, fr *Frame) {
+	p.refusedAt, p.refusalReason = now, fr.Reason
+	if f == nil || f.opened {
 		return
 	}
-	if f.phase == phaseOwned {
-		// The agent had taken the flow and then returned it. Only the caller
-		// still has the opening packet, and repeats it.
-		f.phase, f.owner = phaseOpening, nil
-		delete(s.flows, f.key)
-		returned := reason == ReasonGone || reason == ReasonSilent || reason == ReasonFull
-		if returned && f.sawAllCopies(now) {
-			s.LogDecision(Decision{Event: "caller is reset: the flow was given back", Key: f.key, Agent: p.addr, Reason: reason, Age: now.Sub(f.arrivedAt)})
-			s.ResetFlow(f.key, 0)
+	f.recordRefusal(p, fr.Number)
+	route := s.routes[f.key.Service]
+	switch {
+	case f.rejected():
+		s.reject(now, f, f.rejection)
+	case f.owner != p || f.awaitsLaterAnswer(p, fr.Number):
+	case f.phase == phaseOwned:
+		s.handleGivenBack(now, p, f, fr.Reason)
+	case f.phase == phaseOpening:
+		f.agentFull = f.agentFull || fr.Reason == ReasonFull
+		if route != nil {
+			s.place(now, f, route)
 		}
-		return
 	}
-	if f.phase != phaseOpening {
+}
+
+// handleGivenBack offers a flow to another agent after its owner, which had taken it,
+// has given it back. A flow that has waited for long is rejected.
+func (s *Steering) handleGivenBack(now time.Time, p *peer, f *balancerFlow, reason Reason) {
+	if len(f.otherTakers) > 0 {
+		f.owner, f.otherTakers = f.otherTakers[0], f.otherTakers[1:]
 		return
 	}
-	f.agentFull = f.agentFull || reason == ReasonFull
-	if route := s.routes[f.key.Service]; route != nil {
+	f.asked, f.mayQueue, f.agentFull = append(f.asked[:0], p), false, false
+	route := s.routes[f.key.Service]
+	if route != nil && now.Sub(f.arrivedAt) < min(maxHold, route.Timeout.D()/4) {
+		f.phase, f.owner = phaseOpening, nil
 		s.place(now, f, route)
+		return
 	}
+	s.reject(now, f, Decision{Event: "caller is reset: the flow was given back", Agent: p.addr, Reason: reason})
 }
--- a/internal/cropaque/simulation_test.go
+++ b/internal/cropaque/simulation_test.go
@@ -91,6 +91,8 @@
 	down     bool
 	// inRotation is set while the fabric sends packets to the balancer.
 	inRotation bool
+	// missedPolls counts the checks in a row that were lost at its link.
+	missedPolls int
 	// ingress and egress are the directions of its link, processor its share of
 	// a core.
 	ingress, egress, processor bottleneck
--- a/internal/cropaque/steering.go
+++ b/internal/cropaque/steering.go
@@ -69,6 +69,9 @@
 	// was late and handled no timers.
 	nextTickAt time.Time
 	inGrace    bool
+	// lateBy is how late the loop was at lateAt.
+	lateBy time.Duration
+	lateAt time.Time
 	// suspects are the silent agents that test tests.
 	suspects []*peer
 	test     silenceTest
@@ -132,6 +135,7 @@
 
 // HandlePacket processes a packet of a caller.
 func (s *Steering) HandlePacket(now time.Time, p Packet, data []byte) {
+	s.noteLoopDelay(now)
 	key := p.KeyFromCaller()
 	f := s.flows[key]
 	if f != nil && p.Open && f.openSeen && f.callerISN != p.Seq {
@@ -146,7 +150,7 @@
 	case p.Open && f == nil:
 		s.startFlow(now, p, data)
 	case p.Open:
-		s.handleDuplicateOpen(now, f, data)
+		s.handleDuplicateOpen(now, f, p, data)
 	case f == nil:
 		f = &balancerFlow{key: key, arrivedAt: now, lastPacketAt: now}
 		s.addFlow(f)
@@ -190,6 +194,8 @@
 		s.lookUpOwner(now, f, data)
 	case phaseLookup:
 		f.keepPending(data)
+	case phaseRejected:
+		s.lookUpOwner(now, f, data)
 	case phaseUnowned:
 		if f.timerAt.IsZero() {
 			s.lookUpOwner(now, f, data)
@@ -220,10 +226,10 @@
 	f := s.flows[fr.Key]
 	switch {
 	case fr.Kind == FrameRefused:
-		s.handleRefused(now, p, f, fr.Reason)
+		s.handleRefused(now, p, f, fr)
 	case f == nil:
 	case fr.Kind == FrameTaken:
-		s.handleTaken(now, p, f)
+		s.handleTaken(now, p, f, fr.Number)
 	case fr.Kind == FrameOwn:
 		s.handleOwn(now, p, f)
 	case fr.Kind == FrameMaybe, fr.Kind == FrameForeign:
@@ -245,6 +251,7 @@
 // When Tick runs late, answers may wait in the socket that arrived in time. It then
 // gives them a moment to be handled before it takes agents for silent.
 func (s *Steering) Tick(now time.Time) {
+	s.noteLoopDelay(now)
 	if !s.inGrace && !s.nextTickAt.IsZero() && now.Sub(s.nextTickAt) >= lateTick {
 		s.inGrace, s.nextTickAt = true, now.Add(lateTickGrace)
 		return
@@ -270,8 +277,7 @@
 	case phaseOpening:
 		route := s.routes[f.key.Service]
 		if route == nil {
-			delete(s.flows, f.key)
-			s.ResetFlow(f.key, 0)
+			s.reject(now, f, Decision{Event: "caller is reset: its route was removed"})
 			return
 		}
 		if p := f.owner; p != nil {
@@ -298,7 +304,8 @@
 		}
 	}
 	for key, f := range s.flows {
-		if now.Sub(f.lastPacketAt) > flowRetention {
+		idle := now.Sub(f.lastPacketAt)
+		if idle > flowRetention || f.phase == phaseRejected && idle > rejectionRetention {
 			delete(s.flows, key)
 		}
 	}
--- a/internal/cropaque/steering_test.go
+++ b/internal/cropaque/steering_test.go
@@ -145,7 +145,7 @@
 		Send: func(to netip.AddrPort, f *cropaque.Frame) {
 			offers++
 			s.HandleFrame(now, to, &cropaque.Frame{
-				Kind: cropaque.FrameRefused, Key: f.Key, Reason: cropaque.ReasonFull, Load: cropaque.Load{Busy: 3, Slots: 3},
+				Kind: cropaque.FrameRefused, Key: f.Key, Number: f.Number, Reason: cropaque.ReasonFull, Load: cropaque.Load{Busy: 3, Slots: 3},
 			})
 		},
 	}
