--- a/internal/cropaque/placement.go
+++ b/internal/cropaque/placement.go
@@ -50,7 +50,7 @@
 	switch {
 	case route != nil:
 		s.addFlow(f)
-		s.place(now, f, route)
+		s.openOrWait(now, f)
 	case s.Ready():
 		s.reject(now, f, Decision{Event: "caller is reset: no route"})
 	case len(s.flows) < maxFlowsBeforeView:
@@ -77,7 +77,7 @@
 			// The caller has given up.
 			delete(s.flows, f.key)
 		default:
-			s.place(now, f, route)
+			s.openOrWait(now, f)
 		}
 	}
 	s.awaitingView = nil
@@ -136,7 +136,7 @@
 // is rejected at once, as a full backend server stays full for longer than
 // maxHold.
 func (s *Steering) holdOrReset(now time.Time, f *balancerFlow, route *crdoc.Route) {
-	if f.mayQueue || now.Sub(f.arrivedAt) >= min(maxHold, route.Timeout.D()/4) {
+	if f.mayQueue || now.Sub(f.arrivedAt)-f.turnWait >= min(maxHold, route.Timeout.D()/4) {
 		s.reject(now, f, Decision{Event: "caller is reset: no agent takes the flow"})
 		return
 	}
--- a/internal/cropaque/steering.go
+++ b/internal/cropaque/steering.go
@@ -45,6 +45,13 @@
 	// ControlFrames limits the frames that are sent in a second to look up owners
 	// and to test agents; 0 means without limit.
 	ControlFrames float64
+	// LinkBytes is what the balancer's link carries in a second, in bytes; 0 means
+	// unknown. When it is known, uploads share the link.
+	LinkBytes float64
+	// ObserveTurnWait records how long an upload waited to be opened, and
+	// ObserveUplinkWait how long a packet of an upload waited for the link. They may
+	// be nil.
+	ObserveTurnWait, ObserveUplinkWait func(d time.Duration)
 	// ObservePlacement records the time from a flow's first packet until an
 	// agent has taken it. It may be nil.
 	ObservePlacement func(d time.Duration)
@@ -72,6 +79,9 @@
 	// lateBy is how late the loop was at lateAt.
 	lateBy time.Duration
 	lateAt time.Time
+	// uplink shares the link between uploads; nil without an upload route or a known
+	// link.
+	uplink *uplink
 	// suspects are the silent agents that test tests.
 	suspects []*peer
 	test     silenceTest
@@ -83,11 +93,13 @@
 	s.flows = map[Key]*balancerFlow{}
 	s.control.perSecond = s.ControlFrames
 	s.view = &crwire.View{}
+	s.initUplink()
 }
 
 // SetView applies a newer view.
 func (s *Steering) SetView(now time.Time, v *crwire.View) {
 	s.view, s.routes = v, newRoutes(v)
+	s.setUplink()
 	s.members = map[string]*serviceMembers{}
 	zonesOut := map[string]bool{}
 	for _, z := range v.ZonesOut {
@@ -136,6 +148,7 @@
 // HandlePacket processes a packet of a caller.
 func (s *Steering) HandlePacket(now time.Time, p Packet, data []byte) {
 	s.noteLoopDelay(now)
+	s.advanceUplink(now)
 	key := p.KeyFromCaller()
 	f := s.flows[key]
 	if f != nil && p.Open && f.openSeen && f.callerISN != p.Seq {
@@ -158,7 +171,7 @@
 		s.lookUpOwner(now, f, data)
 	default:
 		f.recordPacket(p)
-		s.forward(now, f, data)
+		s.carry(now, f, p, data)
 	}
 }
 
@@ -207,6 +220,7 @@
 
 // HandleFrame processes a frame of an agent.
 func (s *Steering) HandleFrame(now time.Time, from netip.AddrPort, fr *Frame) {
+	s.advanceUplink(now)
 	p := s.peers[from]
 	if p == nil {
 		return
@@ -252,6 +266,7 @@
 // gives them a moment to be handled before it takes agents for silent.
 func (s *Steering) Tick(now time.Time) {
 	s.noteLoopDelay(now)
+	s.runUplink(now)
 	if !s.inGrace && !s.nextTickAt.IsZero() && now.Sub(s.nextTickAt) >= lateTick {
 		s.inGrace, s.nextTickAt = true, now.Add(lateTickGrace)
 		return
@@ -303,6 +318,9 @@
 			s.ping(now, p)
 		}
 	}
+	if s.uplink != nil {
+		s.uplink.turns.Sweep(now)
+	}
 	for key, f := range s.flows {
 		idle := now.Sub(f.lastPacketAt)
 		if idle > flowRetention || f.phase == phaseRejected && idle > rejectionRetention {
@@ -312,8 +330,8 @@
 	s.findSuspects(now)
 }
 
-// HasTimers reports whether any flow waits for a timer.
-func (s *Steering) HasTimers() bool { return len(s.timers) > 0 }
+// HasTimers reports whether any flow waits for a timer or for the link.
+func (s *Steering) HasTimers() bool { return len(s.timers) > 0 || !s.uplinkNextAt().IsZero() }
 
 // UntilNextTick returns the time until Tick is next needed.
 func (s *Steering) UntilNextTick(now time.Time) time.Duration {
@@ -329,6 +347,9 @@
 	if len(s.timers) > 0 && s.timers[0].at.Before(next) {
 		next = s.timers[0].at
 	}
+	if at := s.uplinkNextAt(); !at.IsZero() && at.Before(next) {
+		next = at
+	}
 	if at, running := s.test.nextAt(); running && at.Before(next) {
 		next = at
 	}
