cropaque: even load among agents whose flows callers keep (--even-load)

Cause: flows that callers keep open for many requests are placed once, by the load of a moment, and a balancer's report of an agent is about a second old.

Change: agents report, beside the moment, how many kept flows they have and what these and all requests keep busy on average; nothing is added to frames while flows carry one request. With Steering.EvenLoad, balancers choose among agents that report kept flows by crspread. Rules, penalties and refusals are applied before and after the choice as they were.

--- a/cmd/crnode/main.go
+++ b/cmd/crnode/main.go
@@ -18,8 +18,9 @@
 
 // args are the arguments of the command line.
 type args struct {
-	Role string `arg:"positional,required" help:"balancer, control or agent"`
-	Bind string `arg:"--bind" help:"IP address that control listens on for our own processes, where they reach it by another one, such as a proxy's"`
+	Role     string `arg:"positional,required" help:"balancer, control or agent"`
+	Bind     string `arg:"--bind" help:"IP address that control listens on for our own processes, where they reach it by another one, such as a proxy's"`
+	EvenLoad bool   `arg:"--even-load" help:"balancer: spread new flows for even load where callers keep flows open for many requests"`
 }
 
 // Description returns the first line of the help.
--- a/cmd/crnode/process.go
+++ b/cmd/crnode/process.go
@@ -83,7 +83,7 @@
 	p.controls.Store(&controls)
 	switch a.Role {
 	case "balancer":
-		p.setUpBalancer()
+		p.setUpBalancer(a.EvenLoad)
 	case "agent":
 		p.setUpAgent()
 	case "control":
--- a/cmd/crnode/roles.go
+++ b/cmd/crnode/roles.go
@@ -76,11 +76,11 @@
 }
 
 // setUpBalancer sets the process up to run a balancer.
-func (p *process) setUpBalancer() {
+func (p *process) setUpBalancer(evenLoad bool) {
 	s := p.settings
 	b := &cropaqueio.Balancer{
 		Name: s.Name, Zone: s.Zone, CallerAddr: s.Listen.Datagrams, FrameAddr: s.InternalAddr(), Sources: s.ControlAddrs(),
-		Codec: codec, ControlFrames: controlFrames(s.Limits), DrainTime: p.boundByStopGrace(balancerDrainTime), Client: p.client, Registry: p.registry, Logger: p.logger,
+		Codec: codec, ControlFrames: controlFrames(s.Limits), EvenLoad: evenLoad, DrainTime: p.boundByStopGrace(balancerDrainTime), Client: p.client, Registry: p.registry, Logger: p.logger,
 	}
 	p.runRole, p.checkReady, p.setControls = b.Run, b.Serving, b.SetSources
 }
--- a/internal/cropaque/admission.go
+++ b/internal/cropaque/admission.go
@@ -36,7 +36,10 @@
 		return
 	}
 	g.addFlow(newFlow)
-	g.Reply(from, &Frame{Kind: FrameTaken, Key: key, Load: g.load(now)})
+	if g.lasting.keeps(key.Service) {
+		g.lasting.markKept(newFlow)
+	}
+	g.Reply(from, &Frame{Kind: FrameTaken, Key: key, Load: g.load(now), KeptRoute: g.lasting.keeps(key.Service)})
 	if g.hasFreeSlot() {
 		g.sendOpen(now, newFlow, f.Data)
 		return
--- a/internal/cropaque/agentflow.go
+++ b/internal/cropaque/agentflow.go
@@ -36,6 +36,13 @@
 	ended bool
 	// callerAck is the caller's latest acknowledgement number.
 	callerAck uint32
+	// requests counts the requests of the flow, answeredAt is when the first one
+	// was answered. useKnown is set when it shows whether the caller keeps the
+	// flow for many requests, and kept when the flow is counted as such;
+	// runningAsKept is set while a request of it counts as one of a kept flow.
+	requests                      int
+	answeredAt                    time.Time
+	useKnown, kept, runningAsKept bool
 	// responseBytes is the size of the answer to the current request so far.
 	responseBytes int
 	// priority is the priority of the flow's route; 0 is the most urgent.
--- a/internal/cropaque/backend.go
+++ b/internal/cropaque/backend.go
@@ -114,7 +114,7 @@
 		}
 		delete(g.flows, key)
 	}
-	g.health = health{}
+	g.health, g.lasting.keptRunning, g.lasting.kept = health{}, 0, 0
 	g.reserved, g.running, g.unanswered, g.reservations, g.queue = 0, 0, nil, nil, nil
 }
 
--- a/internal/cropaque/forwarding.go
+++ b/internal/cropaque/forwarding.go
@@ -39,6 +39,7 @@
 	}
 	if p.Size > 0 && !f.ended && f.slot != slotRunning {
 		f.requestAt, f.responseBytes = now, 0
+		f.requests++
 		g.setSlot(f, slotRunning)
 	}
 	if p.Reset {
@@ -71,6 +72,7 @@
 // HandleServerPacket processes a packet of the backend server.
 func (g *Gate) HandleServerPacket(now time.Time, p Packet, data []byte) {
 	g.serverSeenAt = now
+	g.lasting.observe(now, g.busy())
 	if !g.silentSince.IsZero() {
 		g.LogDecision(Decision{Event: "backend server answers again", Age: now.Sub(g.silentSince)})
 		g.silentSince = time.Time{}
@@ -116,6 +118,9 @@
 	case p.End || p.Size > 0 && p.Size < fullPacketBytes:
 		// A packet below the full size ends the answer.
 		if f.slot == slotRunning {
+			if f.answeredAt.IsZero() {
+				f.answeredAt = now
+			}
 			// The duration of an error is not representative of a request's
 			// latency.
 			if duration := now.Sub(f.requestAt); g.health.recordAnswer(f.key.Service, f.responseBytes, duration) {
--- a/internal/cropaque/frame.go
+++ b/internal/cropaque/frame.go
@@ -24,8 +24,16 @@
 	fieldFailurePermille
 	fieldAge
 	fieldOwner
+	fieldKept
+	fieldLastingBusy
+	fieldKeptBusy
+	fieldKeptRate
+	fieldKeptRoute
 )
 
+// maxReported bounds the numbers of a report that choices compute with.
+const maxReported = 1 << 20
+
 // errInvalidFrame is returned for bytes that don't encode a frame.
 var errInvalidFrame = errors.New("invalid frame")
 
@@ -45,6 +53,13 @@
 	b = appendNumber(b, fieldFailurePermille, uint64(f.Load.FailurePermille))
 	b = appendNumber(b, fieldAge, uint64(f.Age/time.Microsecond))
 	b = appendAddr(b, fieldOwner, f.Owner)
+	b = appendNumber(b, fieldKept, uint64(f.Load.Kept))
+	b = appendNumber(b, fieldLastingBusy, uint64(f.Load.LastingBusy))
+	b = appendNumber(b, fieldKeptBusy, uint64(f.Load.KeptBusy))
+	b = appendNumber(b, fieldKeptRate, uint64(f.Load.KeptRate))
+	if f.KeptRoute {
+		b = appendNumber(b, fieldKeptRoute, 1)
+	}
 	if len(f.Data) > 0 {
 		b = protowire.AppendTag(b, fieldData, protowire.BytesType)
 		b = protowire.AppendBytes(b, f.Data)
@@ -107,6 +122,16 @@
 		f.Load.FailurePermille = int(v)
 	case fieldAge:
 		f.Age = time.Duration(v) * time.Microsecond
+	case fieldKept:
+		f.Load.Kept = int(min(v, maxReported))
+	case fieldLastingBusy:
+		f.Load.LastingBusy = int(min(v, maxReported))
+	case fieldKeptBusy:
+		f.Load.KeptBusy = int(min(v, maxReported))
+	case fieldKeptRate:
+		f.Load.KeptRate = int(min(v, maxReported))
+	case fieldKeptRoute:
+		f.KeptRoute = v != 0
 	case fieldMeanLatency:
 		f.Load.MeanLatency = time.Duration(v) * time.Microsecond
 	}
--- a/internal/cropaque/gate.go
+++ b/internal/cropaque/gate.go
@@ -85,6 +85,7 @@
 	reserved, running int
 	meanLatency       time.Duration
 	health            health
+	lasting           lastingLoad
 	// meanHandshake is the average time from the opening packet to the
 	// caller's acknowledgement.
 	meanHandshake time.Duration
@@ -169,15 +170,21 @@
 
 // load returns the load that is reported to balancers.
 func (g *Gate) load(now time.Time) Load {
-	return Load{
+	load := Load{
 		Busy: g.reserved + g.running, Queued: g.queue.countOnTime(g.expectedCompletion(now)), Slots: g.server.Slots,
 		MeanLatency: g.meanLatency, FailurePermille: g.health.failurePermille(),
 	}
+	g.lasting.report(&load)
+	return load
 }
 
+// busy returns the number of requests in progress or queued.
+func (g *Gate) busy() int { return g.reserved + g.running + len(g.queue) }
+
 // HandleFrame processes a frame of a balancer; p is the packet decoded from
 // its data.
 func (g *Gate) HandleFrame(now time.Time, from netip.AddrPort, f *Frame, p Packet) {
+	g.lasting.observe(now, g.busy())
 	switch f.Kind {
 	case FrameOffer:
 		g.handleOffer(now, from, f, p)
@@ -195,6 +202,7 @@
 // Tick handles expired timeouts. Call it every few milliseconds while flows
 // are waiting.
 func (g *Gate) Tick(now time.Time) {
+	g.lasting.observe(now, g.busy())
 	g.checkHandshakes(now)
 	g.releaseReservations(now)
 	if now.Sub(g.sweptAt) >= sweepInterval {
@@ -225,6 +233,7 @@
 		}
 	}
 	g.health.decay()
+	g.lasting.sweep(now, g.flows)
 	g.hints.expire(now)
 	g.sendHints()
 	g.queue.retain(func(f *agentFlow) bool { return g.flows[f.key] == f })
--- a/internal/cropaque/packet.go
+++ b/internal/cropaque/packet.go
@@ -111,6 +111,12 @@
 	// FailurePermille is the recent share of requests without a proper answer,
 	// in thousandths.
 	FailurePermille int
+	// Kept counts the open flows that their callers keep for many requests, and
+	// KeptRate those of them that were opened in the last second. LastingBusy is
+	// the average number of requests in progress or queued over the last seconds
+	// and KeptBusy the part of it on kept flows, in hundredths. All are 0 without
+	// kept flows.
+	Kept, KeptRate, LastingBusy, KeptBusy int
 }
 
 // Frame is a message between a balancer and an agent.
@@ -124,6 +130,9 @@
 	// Age is how long the caller of an offered flow has waited so far.
 	Age  time.Duration
 	Load Load
+	// KeptRoute marks a FrameTaken of a route whose flows callers keep for many
+	// requests.
+	KeptRoute bool
 	// Owner is the agent that owns the flow of a FrameElsewhere.
 	Owner netip.AddrPort
 	// Data is the datagram of an offer, a carried packet or a returned packet.
--- a/internal/cropaque/placement.go
+++ b/internal/cropaque/placement.go
@@ -171,18 +171,23 @@
 // hashPoint maps a flow to a number from 0 to 1, the same on every balancer.
 func hashPoint(key Key) float64 { return float64(flowHash(key)>>11) / (1 << 53) }
 
-// fastestAgent returns the agent with the shortest expected latency.
+// fastestAgent returns the agent with the shortest expected latency, or the one that
+// is chosen for even load.
 func (s *Steering) fastestAgent(now time.Time, f *balancerFlow, route *crdoc.Route, peers []*peer) *peer {
 	var best *peer
 	var shortest time.Duration
+	peers = s.candidatesFor(now, f, peers)
+	if s.spreadsEvenly(peers) {
+		return s.evenAgent(now, route, peers)
+	}
 	for _, p := range peers {
-		if !p.takesFlows || now.Sub(p.drainingAt) < drainOfferPause || contains(f.asked, p) || s.skipped(now, p, f.mayQueue) {
-			continue
-		}
 		if d := s.expectedLatency(now, p, route); best == nil || d < shortest {
 			best, shortest = p, d
 		}
 	}
+	if best != nil {
+		s.observeChoice(now, ChoiceFastest, best)
+	}
 	return best
 }
 
@@ -214,21 +219,31 @@
 	// When nearly all slots are taken, the last ones may be gone when the
 	// offer arrives.
 	d += float64(meanLatency) * inFlight / float64(slots) / 2
-	// A failed request costs its caller another try, and is lost if it may not
-	// be repeated, so a failure adds a multiple of the target. The reported
-	// share decays as it does at the agent, so that the agent is tried again.
+	return time.Duration(d) + s.failurePrice(now, p, route) + s.zonePrice(p, route)
+}
+
+// failurePrice returns what an agent's failures add to its expected latency. A failed
+// request costs its caller another try, and is lost if it may not be repeated, so a
+// failure adds a multiple of the target. The reported share decays as it does at the
+// agent, so that the agent is tried again.
+func (s *Steering) failurePrice(now time.Time, p *peer, route *crdoc.Route) time.Duration {
 	decay := math.Pow(failureDecay, float64(now.Sub(p.loadReportedAt)/sweepInterval))
 	threshold := ignoredFailureShare
 	if !route.Repeatable {
 		threshold = 0
 	}
 	if failing := float64(p.load.FailurePermille) / 1000 * decay; failing > threshold {
-		d += failurePenalty * failing * float64(route.Target.D())
+		return time.Duration(failurePenalty * failing * float64(route.Target.D()))
 	}
-	if p.member.Zone != s.Zone {
-		d += crossZonePenalty * float64(route.Target.D())
+	return 0
+}
+
+// zonePrice returns what it adds to an agent's expected latency to cross zones.
+func (s *Steering) zonePrice(p *peer, route *crdoc.Route) time.Duration {
+	if p.member.Zone == s.Zone {
+		return 0
 	}
-	return time.Duration(d)
+	return time.Duration(crossZonePenalty * float64(route.Target.D()))
 }
 
 // handleTaken handles an agent's answer that it has taken a flow. When two
--- a/internal/cropaque/slots.go
+++ b/internal/cropaque/slots.go
@@ -44,6 +44,10 @@
 		g.reserved--
 	case slotRunning:
 		g.running--
+		if f.runningAsKept {
+			f.runningAsKept = false
+			g.lasting.keptRunning--
+		}
 	}
 	f.slot = use
 	switch use {
@@ -51,6 +55,10 @@
 		g.reserved++
 	case slotRunning:
 		g.running++
+		if f.kept {
+			f.runningAsKept = true
+			g.lasting.keptRunning++
+		}
 	}
 }
 
--- a/internal/cropaque/steering.go
+++ b/internal/cropaque/steering.go
@@ -48,6 +48,12 @@
 	// ObservePlacement records the time from a flow's first packet until an
 	// agent has taken it. It may be nil.
 	ObservePlacement func(d time.Duration)
+	// EvenLoad spreads flows for even load among agents that report flows which
+	// callers keep open for many requests.
+	EvenLoad bool
+	// ObserveChoice records how an agent was chosen and the age of its report. It
+	// may be nil.
+	ObserveChoice func(kind ChoiceKind, reportAge time.Duration)
 
 	view   *crwire.View
 	routes routes
@@ -65,6 +71,8 @@
 	answers answerTime
 	// control limits the frames for lookups and pings.
 	control budget
+	// keptEvidence is how sure it is that callers keep the flows of a route.
+	keptEvidence map[netip.AddrPort]int
 	// nextTickAt is when Tick should run next. inGrace is set when the last call
 	// was late and handled no timers.
 	nextTickAt time.Time
@@ -75,6 +83,7 @@
 func (s *Steering) Init() {
 	s.peers = map[netip.AddrPort]*peer{}
 	s.flows = map[Key]*balancerFlow{}
+	s.keptEvidence = map[netip.AddrPort]int{}
 	s.control.perSecond = s.ControlFrames
 	s.view = &crwire.View{}
 }
@@ -220,6 +229,7 @@
 		s.handleRefused(now, p, f, fr.Reason)
 	case f == nil:
 	case fr.Kind == FrameTaken:
+		s.learnUse(fr.Key.Service, fr.KeptRoute)
 		s.handleTaken(now, p, f)
 	case fr.Kind == FrameOwn:
 		s.handleOwn(now, p, f)
--- a/internal/cropaqueio/balancer.go
+++ b/internal/cropaqueio/balancer.go
@@ -43,6 +43,9 @@
 	// ControlFrames limits the frames that are sent in a second to look up owners
 	// of flows and to test agents; 0 means without limit.
 	ControlFrames float64
+	// EvenLoad spreads new flows for even load among agents that report flows which
+	// callers keep open for many requests.
+	EvenLoad bool
 	// DrainTime is how long a stopping balancer keeps forwarding. The fabric
 	// must have moved the callers' packets to other balancers by then.
 	DrainTime time.Duration
@@ -60,6 +63,7 @@
 	callerPort    uint16
 	datagramCount *prometheus.CounterVec
 	placementWait prometheus.Histogram
+	choices       *choiceMetrics
 
 	mu       sync.Mutex
 	steering *cropaque.Steering
@@ -103,11 +107,13 @@
 		Buckets: prometheus.ExponentialBuckets(0.0005, 2, 12),
 	})
 	b.Registry.MustRegister(b.datagramCount, b.placementWait)
+	b.choices = newChoiceMetrics(b.Registry)
 	b.wake = make(chan struct{}, 1)
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.steering = &cropaque.Steering{
 		Zone: b.Zone, ControlFrames: b.ControlFrames, Send: b.send, ResetFlow: b.resetFlow, Random: rand.Float64, ViewFresh: func() bool { return b.viewFresh }, LogDecision: b.decisions.record,
+		EvenLoad: b.EvenLoad, ObserveChoice: b.choices.observe,
 		ObservePlacement: func(d time.Duration) { b.placementWait.Observe(d.Seconds()) },
 	}
 	b.steering.Init()
--- a/internal/cropaqueio/decisionlog.go
+++ b/internal/cropaqueio/decisionlog.go
@@ -68,6 +68,9 @@
 	if decision.Load.Slots != 0 {
 		fields["busy"], fields["queued"], fields["slots"] = decision.Load.Busy, decision.Load.Queued, decision.Load.Slots
 	}
+	if decision.Load.Kept != 0 {
+		fields["kept"], fields["lasting"] = decision.Load.Kept, decision.Load.LastingBusy
+	}
 	d.logger.WithFields(fields).Info(decision.Event)
 }
 
--- a/internal/crspread/spread.go
+++ b/internal/crspread/spread.go
@@ -17,12 +17,15 @@
 	// maxShare is the share of busy slots up to which the expected wait is
 	// computed; beyond it the wait grows by steepWait latencies a share, so that
 	// overloaded candidates still differ.
-	maxShare, steepWait = 0.95, 100
+	maxShare, steepWait = 0.95, 10
 	// priceSteps is the number of steps in which a price is turned into a load:
 	// enough for a hundredth of a share.
 	priceSteps = 10
 	// defaultLatency and defaultSlots are assumed when no candidate has reported.
 	defaultLatency, defaultSlots = 40 * time.Millisecond, 2
+	// measuredShare is the weight of the measured load of kept flows. The rest is
+	// that of their number, which a few seconds of requests don't blur.
+	measuredShare = 0.25
 	// minFlowLoad is the least load of a kept flow in slots, so that the first ones
 	// are spread before any has sent much.
 	minFlowLoad = 0.02
@@ -120,14 +123,18 @@
 	}
 	// A slow server keeps more slots busy for the same flow.
 	flowLoad := k.flowLoad * float64(latency) / float64(k.latency)
+	trust := math.Exp(-float64(c.Age) / float64(momentLatencies*latency))
 	fade := math.Exp(-float64(c.Age) / float64(lastingTime))
+	kept := measuredShare*c.KeptBusy + (1-measuredShare)*flowLoad*float64(c.Kept)
+	lasting := fade*kept + (1-fade)*k.keptShare*slots
 	if flow.Kept {
-		kept := (c.KeptBusy + flowLoad*float64(c.Kept)) / 2
-		p.Base = (fade*kept+(1-fade)*k.keptShare*slots)/slots + flowLoad*float64(c.Placed)/slots
+		p.Base = (lasting + flowLoad*float64(c.Placed)) / slots
+		// A server whose slots are all taken refuses the flow or lets it wait.
+		p.Trust = trust
+		p.Base += trust * max(0, float64(c.Busy+c.Placed+1)-slots) / slots
 		others = flowLoad * float64(c.KeptRate) * min(c.Age, lastingTime).Seconds()
 	} else {
-		p.Trust = math.Exp(-float64(c.Age) / float64(momentLatencies*latency))
-		lasting := fade*c.KeptBusy + (1-fade)*k.keptShare*slots
+		p.Trust = trust
 		p.Base = (p.Trust*float64(c.Busy+c.Placed) + (1-p.Trust)*lasting) / slots
 		others = (1 - p.Trust) * max(0, c.LastingBusy-c.KeptBusy)
 	}
@@ -138,7 +145,10 @@
 	}
 	// The whole load decides how long a request waits.
 	whole := p.Base
-	if c.Price <= 0 || flow.Kept {
+	switch {
+	case flow.Kept:
+		whole += k.otherShare
+	case c.Price <= 0:
 		whole += (1 - p.Trust) * k.otherShare
 	}
 	wait := expectedWait(whole, slots)
