--- a/internal/cropaque/frame.go
+++ b/internal/cropaque/frame.go
@@ -24,12 +24,12 @@
 	fieldFailurePermille
 	fieldAge
 	fieldOwner
-	fieldNumber
 	fieldKept
 	fieldLastingBusy
 	fieldKeptBusy
 	fieldKeptRate
 	fieldKeptRoute
+	fieldNumber
 )
 
 // maxReported bounds the numbers of a report that choices compute with.
