cropaque: lookups ask former owners; withdrawn servers answer to their end

Three further ways in which a living flow could be reset. Agents that have just joined push a flow's owner out of the short list, and until its hints have come all agents that a lookup asks deny the flow; so does everybody when the owner has just lost its membership and the budget doesn't allow to ask all. A lookup now asks the short list as it was before the latest changes, too (TestLookupAfterMembersChange fails before in both cases).

An agent reset its open flows when its backend server withdrew, although that may still answer. It now probes until connections are refused (TestWithdrawnServerAnswers). Only a refused connection proves that the backend server has ended; any error but a timeout did before, also the agent's own.

--- a/internal/cropaque/backend.go
+++ b/internal/cropaque/backend.go
@@ -48,7 +48,7 @@
 		g.resetAllFlows(now)
 	}
 	changed = !g.serverPresent || old.Draining != s.Draining || old.Service != s.Service || old.Slots != s.Slots
-	g.server, g.serverPresent = s, true
+	g.server, g.serverPresent, g.leaving = s, true, false
 	g.announcedAt, g.serverSeenAt, g.silentSince = now, now, time.Time{}
 	g.coldUntil = now.Add(s.ColdRemaining)
 	if changed {
@@ -67,14 +67,22 @@
 }
 
 // HandleWithdrawal processes the withdrawal of a backend server and reports
-// whether it was the current one.
+// whether it was the current one. Open flows are kept until a probe shows that it has
+// ended: it may still answer.
 func (g *Gate) HandleWithdrawal(now time.Time, id string) bool {
 	if !g.serverPresent || g.server.ID != id {
 		return false
 	}
-	g.serverPresent, g.withdrawnMS = false, g.server.StartedMS
+	g.serverPresent, g.leaving, g.withdrawnMS = false, true, g.server.StartedMS
 	g.LogDecision(Decision{Event: "backend server has left"})
-	g.resetAllFlows(now)
+	for _, f := range g.queue {
+		if g.flows[f.key] == f {
+			g.removeFlow(f)
+			g.refuse(now, f.offer, f.key, ReasonGone)
+		}
+	}
+	g.queue = nil
+	g.ProbeServer()
 	return true
 }
 
@@ -82,11 +90,11 @@
 // exists. The result is ignored if the backend server was seen since it fell
 // silent.
 func (g *Gate) ProbeRefused(now time.Time) {
-	if g.serverSeenAt.After(g.silentSince) {
+	if !g.leaving && g.serverSeenAt.After(g.silentSince) {
 		return
 	}
 	g.LogDecision(Decision{Event: "backend server refuses connections; its flows are lost", Age: now.Sub(g.serverSeenAt)})
-	g.serverPresent = false
+	g.serverPresent, g.leaving = false, false
 	g.resetAllFlows(now)
 }
 
--- a/internal/cropaque/gate.go
+++ b/internal/cropaque/gate.go
@@ -70,8 +70,10 @@
 	server        Server
 	serverPresent bool
 	// withdrawnMS is the start of the last backend server that has left, 0 for none.
-	withdrawnMS  int64
-	draining     bool
+	withdrawnMS int64
+	draining    bool
+	// leaving is set from the withdrawal of the backend server until it has ended.
+	leaving      bool
 	serverSeenAt time.Time
 	announcedAt  time.Time
 	coldUntil    time.Time
@@ -233,7 +235,7 @@
 	g.hints.expire(now)
 	g.sendHints()
 	g.queue.retain(func(f *agentFlow) bool { return g.flows[f.key] == f })
-	if !g.silentSince.IsZero() && now.Sub(g.silentSince) > sweepInterval {
+	if g.leaving || !g.silentSince.IsZero() && now.Sub(g.silentSince) > sweepInterval {
 		g.ProbeServer()
 	}
 }
--- a/internal/cropaque/gate_test.go
+++ b/internal/cropaque/gate_test.go
@@ -251,6 +251,26 @@
 	h.wantReply(t, "after the next run's announcement", "taken none")
 }
 
+// TestWithdrawnServerAnswers checks that an agent resets the callers of a backend server
+// that has withdrawn when it has ended, not while it may still answer.
+func TestWithdrawnServerAnswers(t *testing.T) {
+	h := newGateHarness()
+	key, answers, probes := h.openFlow(), 0, 0
+	h.gate.ToCaller = func(cropaque.Key, []byte) { answers++ }
+	h.gate.ProbeServer = func() { probes++ }
+	h.gate.HandleWithdrawal(h.now, "s")
+	h.now = h.now.Add(300 * time.Millisecond)
+	h.gate.Tick(h.now)
+	h.gate.HandleServerPacket(h.now, cropaque.Packet{From: key.Service, To: key.Caller, Ack: true, Seq: 501, Size: 1200}, nil)
+	if diff := cmp.Diff([]int{1, 2, 0}, []int{answers, probes, len(h.resets)}); diff != "" {
+		t.Errorf("answers, probes and resets after the withdrawal (-want +got):\n%s", diff)
+	}
+	h.gate.ProbeRefused(h.now)
+	if diff := cmp.Diff(1, len(h.resets)); diff != "" {
+		t.Errorf("resets after the end (-want +got):\n%s", diff)
+	}
+}
+
 // TestGateRestartKeepsLongFlow guards against an agent that claims a flow after its
 // restart, passes one request on, and then gives the flow away although its backend
 // server has answered. The soak showed it with seeds 1 and 20 beside busy processes.
--- a/internal/cropaque/lookup.go
+++ b/internal/cropaque/lookup.go
@@ -19,6 +19,10 @@
 	// ownership of a flow before its caller is reset, so that agents that just
 	// joined are known by then: 99 of 100 balancers have a new view in that time.
 	unownedResetDelay = 300 * time.Millisecond
+	// joinSettleTime is how long an agent must have been a member until owners that it
+	// has pushed out of short lists are known there: they have the view by then, and
+	// have sent their hints.
+	joinSettleTime = 5 * time.Second
 	// maxPendingPackets limits the packets kept for a flow during a lookup.
 	maxPendingPackets = 4
 )
@@ -90,7 +94,7 @@
 	switch f.scope {
 	case scopeOffered:
 		f.scope = scopeShortList
-		s.askScope(now, f, s.shortListOf(f))
+		s.askScope(now, f, s.shortListOf(now, f))
 	case scopeShortList:
 		all := s.agentsOf(now, f)
 		if f.unownedSince.IsZero() || now.Sub(f.unownedSince) < unownedResetDelay || !s.control.hasPlenty(now, len(all)) {
@@ -104,12 +108,18 @@
 	}
 }
 
-// shortListOf returns the agents of the route's services on a flow's short list.
-func (s *Steering) shortListOf(f *balancerFlow) []*peer {
+// shortListOf returns the agents of the route's services on a flow's short list, in this
+// view and as it was before the latest changes of the members.
+func (s *Steering) shortListOf(now time.Time, f *balancerFlow) []*peer {
 	var list []*peer
 	for _, share := range s.routes[f.key.Service].Shares {
 		if share.Weight > 0 {
 			list = append(list, s.members[share.Service].shortList(f.key)...)
+			for _, p := range s.formerMembers[share.Service].shortList(f.key) {
+				if !contains(list, p) && (!p.removed || !p.lost(now)) {
+					list = append(list, p)
+				}
+			}
 		}
 	}
 	return list
--- a/internal/cropaque/lookup_test.go
+++ b/internal/cropaque/lookup_test.go
@@ -430,3 +430,24 @@
 		t.Errorf("resets of the living flow, and pings in 2 s (-want +got):\n%s", diff)
 	}
 }
+
+// TestLookupAfterMembersChange guards against the reset of a living flow whose owner was
+// pushed out of the short list by agents that have just joined, before its hints have
+// come, or has just lost its membership, while the budget lets few agents be asked.
+func TestLookupAfterMembersChange(t *testing.T) {
+	_, owner, p := newOwner(20)
+	cutOff := viewOf(2, 20)
+	for num, m := range cutOff.Members {
+		if m.DatagramAddr == owner.String() {
+			delete(cutOff.Members, num)
+		}
+	}
+	for name, next := range map[string]*crwire.View{"agents join": viewOf(2, 400), "the owner is no member any more": cutOff} {
+		h := newSteeringHarness(20, 60)
+		h.steering.SetView(h.now, next)
+		h.steering.HandlePacket(h.now, p, []byte{1})
+		if asked := h.take(cropaque.FrameSeek); !slices.Contains(asked, owner) {
+			t.Errorf("%s: %v are asked, want the owner %s among them", name, asked, owner)
+		}
+	}
+}
--- a/internal/cropaque/peer.go
+++ b/internal/cropaque/peer.go
@@ -19,6 +19,8 @@
 	member crwire.Member
 	addr   netip.AddrPort
 	load   Load
+	// joinedAt is when the agent became a member, zero if the first view had it.
+	joinedAt time.Time
 	// loadReportedAt is when load was received, lastFrameAt when any frame was
 	// received.
 	loadReportedAt, lastFrameAt time.Time
--- a/internal/cropaque/shortlist.go
+++ b/internal/cropaque/shortlist.go
@@ -23,6 +23,14 @@
 	zones [][]*peer
 }
 
+// addMember adds an agent to the members of its service.
+func addMember(members map[string]*serviceMembers, p *peer) {
+	if members[p.member.Service] == nil {
+		members[p.member.Service] = &serviceMembers{}
+	}
+	members[p.member.Service].add(p)
+}
+
 // add adds an agent.
 func (m *serviceMembers) add(p *peer) {
 	for i, peers := range m.zones {
--- a/internal/cropaque/steering.go
+++ b/internal/cropaque/steering.go
@@ -61,7 +61,11 @@
 	peers  map[netip.AddrPort]*peer
 	// members are the agents of each service, also those that get no new flows.
 	members map[string]*serviceMembers
-	flows   map[Key]*balancerFlow
+	// formerMembers are the agents that other balancers with an older view place
+	// flows on, or did until recently: without those that have just joined, and with
+	// those that have just left.
+	formerMembers map[string]*serviceMembers
+	flows         map[Key]*balancerFlow
 	// awaitingView are new flows that arrived before the first view, oldest
 	// first.
 	awaitingView []*balancerFlow
@@ -100,7 +104,7 @@
 func (s *Steering) SetView(now time.Time, v *crwire.View) {
 	s.view, s.routes = v, newRoutes(v)
 	s.setUplink()
-	s.members = map[string]*serviceMembers{}
+	s.members, s.formerMembers = map[string]*serviceMembers{}, map[string]*serviceMembers{}
 	zonesOut := map[string]bool{}
 	for _, z := range v.ZonesOut {
 		zonesOut[z] = true
@@ -116,30 +120,40 @@
 		p := s.peers[addr]
 		if p == nil || p.member.Service != m.Service || p.member.Name != m.Name {
 			p = &peer{addr: addr, lastFrameAt: now}
+			if len(s.peers) > 0 {
+				p.joinedAt = now
+			}
 			s.LogDecision(Decision{Event: "agent of " + m.Service + " joins", Agent: addr, Revision: v.Revision})
 		}
 		p.member, p.removed = m, false
 		p.takesFlows = m.State == crwire.MemberActive && !zonesOut[m.Zone]
 		peers[addr] = p
-		if s.members[m.Service] == nil {
-			s.members[m.Service] = &serviceMembers{}
+		addMember(s.members, p)
+		if now.Sub(p.joinedAt) >= joinSettleTime {
+			addMember(s.formerMembers, p)
 		}
-		s.members[m.Service].add(p)
 	}
+	s.keepFormerPeers(now, peers)
+	s.peers = peers
+	s.placeAwaitingView(now)
+}
+
+// keepFormerPeers adds the agents that are no members any more to the peers of a newer
+// view for a while: their flows may still be alive.
+func (s *Steering) keepFormerPeers(now time.Time, peers map[netip.AddrPort]*peer) {
 	for addr, p := range s.peers {
 		if peers[addr] == p {
 			continue
 		}
 		if !p.removed {
-			s.LogDecision(Decision{Event: "agent of " + p.member.Service + " is no member any more", Agent: addr, Revision: v.Revision})
+			s.LogDecision(Decision{Event: "agent of " + p.member.Service + " is no member any more", Agent: addr, Revision: s.view.Revision})
 		}
 		p.removed, p.takesFlows = true, false
 		if peers[addr] == nil && now.Sub(p.lastFrameAt) < flowRetention {
 			peers[addr] = p
+			addMember(s.formerMembers, p)
 		}
 	}
-	s.peers = peers
-	s.placeAwaitingView(now)
 }
 
 // Ready reports whether new flows can be placed.
--- a/internal/cropaqueio/agent.go
+++ b/internal/cropaqueio/agent.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/apex/log"
@@ -276,14 +277,13 @@
 }
 
 // probe tries to connect to the backend server. A refused connection means that
-// no process listens there. A timeout proves nothing.
+// no process listens there. Any other error may be this process's own.
 func (a *Agent) probe() {
 	conn, err := net.DialTimeout("tcp", a.Backend, probeTimeout)
 	if err == nil {
 		_ = conn.Close()
 	}
-	var op *net.OpError
-	refused := errors.As(err, &op) && !op.Timeout()
+	refused := errors.Is(err, syscall.ECONNREFUSED)
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.probing = false
