--- a/internal/cropaque/backend.go
+++ b/internal/cropaque/backend.go
@@ -123,6 +123,7 @@
 		delete(g.flows, key)
 	}
 	g.health, g.givenBack = health{}, nil
+	g.lasting.keptRunning, g.lasting.kept = 0, 0
 	g.reserved, g.running, g.unanswered, g.reservations, g.queue = 0, 0, nil, nil, nil
 }
 
