--- a/internal/cropaque/admission.go
+++ b/internal/cropaque/admission.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 
 	"cardamomring.dev/pkg/crdoc"
@@ -31,8 +32,9 @@
 		key: key, balancer: from, callerISN: p.Seq, priority: route.Priority, target: route.Target.D(),
 		timeout: route.Timeout.D(), arrivedAt: now.Add(-f.Age), lastPacketAt: now,
 	}
+	g.shares.add(now, key, 0)
 	if !g.hasFreeSlot() && (!f.MayQueue || !g.mayQueue(now, newFlow)) {
-		g.refuse(now, from, key, ReasonFull)
+		g.refuseFull(now, newFlow)
 		return
 	}
 	g.addFlow(newFlow)
@@ -44,6 +46,7 @@
 	newFlow.openPacket = append([]byte(nil), f.Data...)
 	g.queue.push(newFlow)
 	g.LogDecision(Decision{Event: "flow waits for a slot", Key: key, Load: g.load(now), Revision: g.view.Revision})
+	g.refuseDisplaced(now, newFlow)
 }
 
 // handleDuplicateOpen handles a copy of an opening packet whose flow was taken
@@ -94,9 +97,10 @@
 // left. The rest of that time is for its own request and for later flows that
 // go ahead of it.
 func (g *Gate) mayQueue(now time.Time, f *agentFlow) bool {
+	g.rankByShare(now, append(slices.Clone(g.queue), f))
 	ahead := g.queue.countAhead(f, g.expectedCompletion(now))
 	wait := g.meanLatency * time.Duration(ahead+1) / time.Duration(max(1, g.server.Slots))
-	return float64(wait) <= queueWaitShare*float64(f.timeout-now.Sub(f.arrivedAt))
+	return float64(wait) <= queueWaitShare*float64(f.timeout-now.Sub(f.arrivedAt)) || g.routeMayQueue(now, f)
 }
 
 // expectedCompletion returns when a request that begins now is answered if it
@@ -105,6 +109,15 @@
 	return now.Add(time.Duration(slowRequestFactor * float64(g.meanLatency)))
 }
 
+// refuseFull refuses a flow that finds no free slot.
+func (g *Gate) refuseFull(now time.Time, f *agentFlow) {
+	if f.excess > 0 {
+		g.refuseOverShare(now, f)
+		return
+	}
+	g.refuse(now, f.balancer, f.key, ReasonFull)
+}
+
 // refuse refuses a flow and sends the reason to its balancer.
 func (g *Gate) refuse(now time.Time, to netip.AddrPort, key Key, reason Reason) {
 	g.LogDecision(Decision{Event: "flow is refused", Key: key, Reason: reason, Load: g.load(now), Revision: g.view.Revision, Routine: true})
@@ -119,6 +132,7 @@
 	g.recentOpens = append(g.recentOpens, now)
 	g.unanswered = append(g.unanswered, f)
 	g.reservations = append(g.reservations, f)
+	g.reserveWork(now, f)
 	g.ToServer(data)
 }
 
@@ -126,6 +140,7 @@
 // slots.
 func (g *Gate) dispatchQueued(now time.Time) {
 	for len(g.queue) > 0 && g.hasFreeSlot() {
+		g.rankByShare(now, g.queue)
 		f := g.queue.pop(g.expectedCompletion(now), g.meanLatency/time.Duration(max(1, g.server.Slots)))
 		if g.flows[f.key] != f {
 			continue
--- a/internal/cropaque/agentflow.go
+++ b/internal/cropaque/agentflow.go
@@ -46,6 +46,12 @@
 	// hintsSent counts the hints that were sent for the flow after the view whose
 	// growth of members has the number hintsFor.
 	hintsSent, hintsFor int
+	// countedWork is the work that was counted for the current request in advance.
+	countedWork time.Duration
+	// excess is how much work the account of a queued flow got beyond its share,
+	// and starved is set while the flow's route gets less than its minimum.
+	excess  time.Duration
+	starved bool
 	// openPacket is the opening packet of a queued flow, nil for other flows.
 	openPacket []byte
 	// arrivedAt is the time of the caller's first packet, sentToServerAt when
--- a/internal/cropaque/callers_test.go
+++ b/internal/cropaque/callers_test.go
@@ -27,6 +27,9 @@
 		Caller:  netip.AddrPortFrom(netip.AddrFrom4([4]byte{100, 64, byte(n >> 14), byte(n >> 6)}), uint16(1024+n%64)),
 		Service: routeAddr,
 	}
+	if r.account.IsValid() {
+		key = cropaque.Key{Caller: netip.AddrPortFrom(r.account, uint16(1024+n%60_000)), Service: r.route}
+	}
 	att := &attempt{request: r, key: key}
 	sim.attempts[key] = att
 	r.attempts = append(r.attempts, att)
@@ -161,7 +164,7 @@
 	if !sim.isWaiting(r) {
 		return
 	}
-	if r.attemptCount > sim.maxRetries || att.opened && !r.repeatable {
+	if r.attemptCount > max(sim.maxRetries, r.maxRetries) || att.opened && !r.repeatable {
 		r.failed = true
 		return
 	}
--- a/internal/cropaque/gate.go
+++ b/internal/cropaque/gate.go
@@ -42,6 +42,10 @@
 	ColdExtra  int
 	// StartedAt is when the agent started.
 	StartedAt time.Time
+	// ShareWindow is the time over which the work of client accounts and routes is
+	// compared when flows wait for a slot; 0 means that flows wait without regard
+	// to it.
+	ShareWindow time.Duration
 	// ToServer sends a packet to the backend server.
 	ToServer func(data []byte)
 	// ToCaller sends a packet to the caller of a flow.
@@ -80,6 +84,7 @@
 	flows       map[Key]*agentFlow
 	queue       waitQueue
 	hints       hints
+	shares      *shares
 	// reserved counts the flows with a slot reserved for a request that hasn't
 	// arrived, running those with a request in progress.
 	reserved, running int
@@ -103,6 +108,7 @@
 func (g *Gate) Init() {
 	g.flows = map[Key]*agentFlow{}
 	g.meanLatency, g.meanHandshake = defaultLatency, defaultHandshake
+	g.shares = newShares(g.ShareWindow)
 	g.view = &crwire.View{}
 }
 
--- a/internal/cropaque/queue.go
+++ b/internal/cropaque/queue.go
@@ -20,11 +20,12 @@
 // waitQueue holds flows that wait for a slot. It is made for two load
 // patterns: a burst of routine requests together with rare urgent ones, and
 // the return of callers after an outage, who have already waited for longer
-// than their target. The flows of the most urgent route go first. Within a
-// route, flows that can still be answered within their target go before the
-// others, and older flows before newer ones. While the queue is crowded, the
-// newest flow that can still be answered in time goes first, so that one delay
-// isn't passed on to all later flows. The parameter completion is when a
+// than their target. A route that gets less than its minimum goes first, then
+// the most urgent one. Within a route, flows that can still be answered within
+// their target go before the others. Of these, flows of accounts within their
+// share go first, and older flows before newer ones. While the queue is crowded,
+// the newest flow that can still be answered in time goes first, so that one
+// delay isn't passed on to all later flows. The parameter completion is when a
 // request that begins now would be answered.
 type waitQueue []*agentFlow
 
@@ -55,11 +56,11 @@
 }
 
 // crowded reports whether more flows are queued than can be served in time in
-// order of age; slotInterval is the time from one free slot to the next.
+// order of age, without those of accounts beyond their share; slotInterval is the time from one free slot to the next.
 func (q waitQueue) crowded(completion time.Time, slotInterval time.Duration) bool {
 	wait, minTarget := time.Duration(0), time.Duration(math.MaxInt64)
 	for _, f := range q {
-		if !f.missesTarget(completion) {
+		if f.excess == 0 && !f.missesTarget(completion) {
 			wait += slotInterval
 			minTarget = min(minTarget, f.target)
 		}
@@ -85,9 +86,13 @@
 // target.
 func (f *agentFlow) missesTarget(at time.Time) bool { return at.Sub(f.arrivedAt) > f.target }
 
-// goesBefore reports whether a flow goes before another. If crowded, the
-// newest of the flows that can be answered in time goes first.
+// goesBefore reports whether a flow goes before another. Late flows go last even
+// if their account is within its share: the answer that still comes in time
+// counts for more. If crowded, the newest of the flows that can be answered in time goes first.
 func (f *agentFlow) goesBefore(g *agentFlow, completion time.Time, crowded bool) bool {
+	if f.starved != g.starved {
+		return f.starved
+	}
 	if f.priority != g.priority {
 		return f.priority < g.priority
 	}
@@ -95,12 +100,41 @@
 	if late != otherLate {
 		return otherLate
 	}
+	if f.excess != g.excess {
+		return f.excess < g.excess
+	}
 	if !late && crowded {
 		return g.arrivedAt.Before(f.arrivedAt)
 	}
 	return f.arrivedAt.Before(g.arrivedAt)
 }
 
+// lastOverShare returns the flow that goes last of those whose accounts are beyond
+// their shares, nil if there is none.
+func (q waitQueue) lastOverShare(completion time.Time) *agentFlow {
+	var last *agentFlow
+	for _, f := range q {
+		if f.excess > 0 && (last == nil || last.goesBefore(f, completion, true)) {
+			last = f
+		}
+	}
+	return last
+}
+
+// countOfRoute returns how many flows of f's route are queued, and how many of
+// more urgent routes.
+func (q waitQueue) countOfRoute(f *agentFlow) (same, urgent int) {
+	for _, g := range q {
+		switch {
+		case g.key.Service == f.key.Service:
+			same++
+		case g.priority < f.priority:
+			urgent++
+		}
+	}
+	return same, urgent
+}
+
 // retain removes the flows for which keep returns false.
 func (q *waitQueue) retain(keep func(f *agentFlow) bool) {
 	*q = slices.DeleteFunc(*q, func(f *agentFlow) bool { return !keep(f) })
--- a/internal/cropaque/simulation_test.go
+++ b/internal/cropaque/simulation_test.go
@@ -148,6 +148,12 @@
 	runs         int
 	repeatable   bool
 	attempts     []*attempt
+	// account is the caller's address and route the address that it sends to, if
+	// they matter. maxRetries is how often it tries again if that is more often
+	// than usual.
+	account    netip.Addr
+	route      netip.AddrPort
+	maxRetries int
 }
 
 // attempt is one flow of a request.
@@ -190,6 +196,16 @@
 	datagramCost time.Duration
 	// controlFrames is the balancers' limit of frames for lookups and pings.
 	controlFrames float64
+	// ignoreShares makes flows wait without regard to accounts and routes.
+	ignoreShares bool
+}
+
+// shareWindow returns the window of the agents' shares.
+func (d deploymentSize) shareWindow() time.Duration {
+	if d.ignoreShares {
+		return 0
+	}
+	return cropaque.DefaultShareWindow
 }
 
 // newSimulation returns a simulation with agents in all zones and two
@@ -408,7 +424,7 @@
 	sim := a.sim
 	a.down = false
 	a.gate = &cropaque.Gate{
-		Name: a.name, Zone: a.zone, AnnounceInterval: 1200 * time.Millisecond, ColdFactor: 1.5, ColdExtra: 5, StartedAt: sim.now,
+		Name: a.name, Zone: a.zone, ShareWindow: sim.size.shareWindow(), AnnounceInterval: 1200 * time.Millisecond, ColdFactor: 1.5, ColdExtra: 5, StartedAt: sim.now,
 		ToServer: func(data []byte) {
 			p := sim.decode(data)
 			sim.after(0, func() { a.server.handlePacket(p, data) })
--- a/internal/cropaqueio/agent.go
+++ b/internal/cropaqueio/agent.go
@@ -100,7 +100,7 @@
 func (a *Agent) open() error {
 	a.decisions = newDecisionLog(a.Logger, a.Registry)
 	a.datagramCount = newDatagramCounter()
-	a.Registry.MustRegister(a.datagramCount)
+	a.Registry.MustRegister(a.datagramCount, &routeShares{agent: a})
 	backend, err := netip.ParseAddrPort(a.Backend)
 	if err != nil {
 		return fmt.Errorf("address of the backend server: %w", err)
@@ -114,7 +114,7 @@
 	defer a.mu.Unlock()
 	a.gate = &cropaque.Gate{
 		Name: a.Name, Zone: a.Zone, AnnounceInterval: a.AnnounceInterval, ColdFactor: a.ColdFactor, ColdExtra: a.ColdExtra, StartedAt: time.Now(),
-		ToServer: a.sendToServer, ToCaller: a.sendToCaller, Reply: a.reply, ResetFlow: a.resetFlow,
+		ShareWindow: cropaque.DefaultShareWindow, ToServer: a.sendToServer, ToCaller: a.sendToCaller, Reply: a.reply, ResetFlow: a.resetFlow,
 		ClearReturned: a.Codec.ClearReturned, ProbeServer: a.startProbe, LogDecision: a.decisions.record,
 	}
 	a.gate.Init()
