--- a/internal/crshare/decision.go
+++ b/internal/crshare/decision.go
@@ -16,7 +16,7 @@
 	routeMinimum = 0.1
 	// minimumMargin is how many times its minimum a route must have got before it
 	// waits like the others, because its flows don't wait at every moment.
-	minimumMargin = 1.25
+	minimumMargin = 1.5
 )
 
 // Limit returns the work up to which an account is within its share. It answers
