--- a/internal/cropaque/placement.go
+++ b/internal/cropaque/placement.go
@@ -49,7 +49,7 @@
 	switch {
 	case route != nil:
 		s.addFlow(f)
-		s.place(now, f, route)
+		s.openOrWait(now, f)
 	case s.Ready():
 		s.LogDecision(Decision{Event: "caller is reset: no route", Key: f.key, Revision: s.view.Revision})
 		s.ResetFlow(f.key, 0)
@@ -78,7 +78,7 @@
 			// The caller has given up.
 			delete(s.flows, f.key)
 		default:
-			s.place(now, f, route)
+			s.openOrWait(now, f)
 		}
 	}
 	s.awaitingView = nil
@@ -128,7 +128,7 @@
 // caller is reset at once, as a full backend server stays full for longer than
 // maxHold.
 func (s *Steering) holdOrReset(now time.Time, f *balancerFlow, route *crdoc.Route) {
-	if f.mayQueue || now.Sub(f.arrivedAt) >= min(maxHold, route.Timeout.D()/4) {
+	if f.mayQueue || now.Sub(f.arrivedAt)-f.turnWait >= min(maxHold, route.Timeout.D()/4) {
 		s.LogDecision(Decision{Event: "caller is reset: no agent takes the flow", Key: f.key, Age: now.Sub(f.arrivedAt), Revision: s.view.Revision})
 		delete(s.flows, f.key)
 		s.ResetFlow(f.key, 0)
--- a/internal/cropaque/queue.go
+++ b/internal/cropaque/queue.go
@@ -56,11 +56,11 @@
 }
 
 // crowded reports whether more flows are queued than can be served in time in
-// order of age, without those of accounts beyond their share; slotInterval is the time from one free slot to the next.
-func (q waitQueue) crowded(completion time.Time, slotInterval time.Duration) bool {
+// order of age; flows with a larger excess than maxExcess don't count; slotInterval is the time from one free slot to the next.
+func (q waitQueue) crowded(completion time.Time, slotInterval, maxExcess time.Duration) bool {
 	wait, minTarget := time.Duration(0), time.Duration(math.MaxInt64)
 	for _, f := range q {
-		if f.excess == 0 && !f.missesTarget(completion) {
+		if f.excess <= maxExcess && !f.missesTarget(completion) {
 			wait += slotInterval
 			minTarget = min(minTarget, f.target)
 		}
@@ -71,7 +71,7 @@
 // pop removes and returns the flow that goes next.
 func (q *waitQueue) pop(completion time.Time, slotInterval time.Duration) *agentFlow {
 	next := 0
-	crowded := q.crowded(completion, slotInterval)
+	crowded := q.crowded(completion, slotInterval, 0)
 	for i, f := range *q {
 		if f.goesBefore((*q)[next], completion, crowded) {
 			next = i
--- a/internal/cropaque/share.go
+++ b/internal/cropaque/share.go
@@ -1,8 +1,8 @@
 package cropaque
 
 import (
+	"math"
 	"net/netip"
-	"slices"
 	"time"
 
 	"cardamomring.dev/internal/crshare"
@@ -47,8 +47,8 @@
 }
 
 // rankByShare updates the fields of waiting flows by which shares change their
-// order. For each flow of an account, the work of its later ones that can still be
-// answered in time is added to what the account got: after an outage all accounts
+// order. For each flow of an account, the work of those that go before it and can
+// still be answered in time is added to what the account got: after an outage all accounts
 // begin with nothing, and one that sends much is known by its flows that wait.
 func (g *Gate) rankByShare(now time.Time, flows []*agentFlow) {
 	if g.shares == nil || len(flows) < 2 {
@@ -56,10 +56,16 @@
 	}
 	completion, accounts := g.expectedCompletion(now), &g.shares.accounts
 	waiting := time.Duration(waitQueue(flows).countOnTime(completion)) * g.meanLatency
+	slotInterval := g.meanLatency / time.Duration(max(1, g.server.Slots))
+	newestFirst := waitQueue(flows).crowded(completion, slotInterval, math.MaxInt64)
 	limit := crshare.Limit(accounts.Total(now)+waiting, accounts.Holders(now), g.meanLatency)
 	work := make(map[netip.Addr]time.Duration, len(flows))
 	routesCompete := false
-	for _, f := range slices.Backward(flows) {
+	for i := range flows {
+		f := flows[i]
+		if newestFirst {
+			f = flows[len(flows)-1-i]
+		}
 		account := f.key.Caller.Addr()
 		if _, known := work[account]; !known {
 			work[account] = accounts.Of(now, account)
