--- a/internal/cropaque/forwarding.go
+++ b/internal/cropaque/forwarding.go
@@ -127,6 +127,7 @@
 			if f.answeredAt.IsZero() {
 				f.answeredAt = now
 			}
+			g.countWork(now, f)
 			// The duration of an error is not representative of a request's
 			// latency.
 			if duration := now.Sub(f.requestAt); g.health.recordAnswer(f.key.Service, f.responseBytes, duration) {
