--- a/internal/cregress/turns.go
+++ b/internal/cregress/turns.go
@@ -125,25 +125,44 @@
 // Arrive decides about a new upload.
 func (t *Turns) Arrive(now time.Time, r Request) Verdict {
 	t.end(r.Flow)
-	if len(t.uploads) >= maxUploads {
-		return VerdictRefuse
-	}
-	account := r.Flow.Caller.Addr()
-	u := &upload{
-		Request: r, fromStart: true, lastPacketAt: now,
-		order: r.GiveUpAt.Add(time.Duration(t.accounts[account]) * t.AccountSpacing),
-	}
 	t.lapse(now)
-	if len(t.line) == 0 && len(t.holders) < t.Places() {
+	u := t.newUpload(now, r)
+	verdict := t.judge(now, u)
+	switch verdict {
+	case VerdictOpen:
 		t.add(u)
 		t.grant(now, u)
-		return VerdictOpen
+	case VerdictWait:
+		t.add(u)
+		t.enqueue(u)
+	}
+	return verdict
+}
+
+// Foresee returns what Arrive would decide about an upload. It changes nothing, so that
+// turns that lapse now still count.
+func (t *Turns) Foresee(now time.Time, r Request) Verdict {
+	return t.judge(now, t.newUpload(now, r))
+}
+
+// newUpload returns an upload that begins.
+func (t *Turns) newUpload(now time.Time, r Request) *upload {
+	return &upload{
+		Request: r, fromStart: true, lastPacketAt: now,
+		order: r.GiveUpAt.Add(time.Duration(t.accounts[r.Flow.Caller.Addr()]) * t.AccountSpacing),
 	}
-	if t.carriedAt(now, u, t.position(u)).After(u.GiveUpAt) {
+}
+
+// judge decides about a new upload.
+func (t *Turns) judge(now time.Time, u *upload) Verdict {
+	switch {
+	case len(t.uploads) >= maxUploads:
+		return VerdictRefuse
+	case len(t.line) == 0 && len(t.holders) < t.Places():
+		return VerdictOpen
+	case t.carriedAt(now, u, t.position(u)).After(u.GiveUpAt):
 		return VerdictRefuse
 	}
-	t.add(u)
-	t.enqueue(u)
 	return VerdictWait
 }
 
--- a/internal/cropaque/choice.go
+++ b/internal/cropaque/choice.go
@@ -40,7 +40,7 @@
 func (s *Steering) candidatesFor(now time.Time, f *balancerFlow, peers []*peer) []*peer {
 	var list []*peer
 	for _, p := range peers {
-		if p.takesFlows && now.Sub(p.drainingAt) >= drainOfferPause && !contains(f.asked, p) && !s.skipped(now, p, f.mayQueue) {
+		if !contains(f.asked, p) && s.standing(now, p, f.mayQueue) == StandingReady {
 			list = append(list, p)
 		}
 	}
@@ -92,12 +92,16 @@
 		parts[i] = w.Part
 	}
 	chosen := list[crspread.Pick(parts, s.Random())]
-	kind := ChoiceEvenSingle
+	s.observeChoice(now, s.evenChoice(route), chosen.peer)
+	return chosen.peer
+}
+
+// evenChoice returns how an agent is chosen for even load.
+func (s *Steering) evenChoice(route *crdoc.Route) ChoiceKind {
 	if s.keptEvidence[route.Address] > 0 {
-		kind = ChoiceEvenKept
+		return ChoiceEvenKept
 	}
-	s.observeChoice(now, kind, chosen.peer)
-	return chosen.peer
+	return ChoiceEvenSingle
 }
 
 // observeChoice records a choice and the age of the report that it used, unless the
--- a/internal/cropaque/doc.go
+++ b/internal/cropaque/doc.go
@@ -5,4 +5,4 @@
 // reads no clock.
 package cropaque
 
-//go:generate enumer -type=FrameKind,Reason,ChoiceKind -text -trimprefix=Frame,Reason,Choice -transform=lower -output=enum_gen.go
+//go:generate enumer -type=FrameKind,Reason,ChoiceKind,Standing,Outcome -text -trimprefix=Frame,Reason,Choice,Standing,Outcome -transform=lower -output=enum_gen.go
--- a/internal/cropaque/placement.go
+++ b/internal/cropaque/placement.go
@@ -136,7 +136,7 @@
 // is rejected at once, as a full backend server stays full for longer than
 // maxHold.
 func (s *Steering) holdOrReset(now time.Time, f *balancerFlow, route *crdoc.Route) {
-	if f.mayQueue || now.Sub(f.arrivedAt)-f.turnWait >= min(maxHold, route.Timeout.D()/4) {
+	if f.mayQueue || now.Sub(f.arrivedAt)-f.turnWait >= holdTime(route) {
 		s.reject(now, f, Decision{Event: "caller is reset: no agent takes the flow"})
 		return
 	}
@@ -144,6 +144,9 @@
 	s.setTimer(now, f, offerRetryInterval)
 }
 
+// holdTime returns how long a flow that no agent takes is held.
+func holdTime(route *crdoc.Route) time.Duration { return min(maxHold, route.Timeout.D()/4) }
+
 // offer sends the opening packet to an agent and waits for its answer.
 func (s *Steering) offer(now time.Time, f *balancerFlow, p *peer) {
 	p.offersSinceReport++
@@ -156,15 +159,8 @@
 // bestAgent returns the agent for a new flow, nil if none is left in this
 // round. It prefers the service that the weights of the route select.
 func (s *Steering) bestAgent(now time.Time, f *balancerFlow, route *crdoc.Route) *peer {
-	service := pickService(route, hashPoint(f.key))
-	if p := s.fastestAgent(now, f, route, s.members[service].shortList(f.key)); p != nil {
-		return p
-	}
-	for _, share := range route.Shares {
-		if share.Service == service || share.Weight <= 0 {
-			continue
-		}
-		if p := s.fastestAgent(now, f, route, s.members[share.Service].shortList(f.key)); p != nil {
+	for service := range servicesFor(route, hashPoint(f.key)) {
+		if p := s.fastestAgent(now, f, route, s.members[service].shortList(f.key)); p != nil {
 			return p
 		}
 	}
@@ -184,7 +180,7 @@
 		return s.evenAgent(now, route, peers)
 	}
 	for _, p := range peers {
-		if d := s.expectedLatency(now, p, route); best == nil || d < shortest {
+		if d := s.expect(now, p, route).total(s.Random()); best == nil || d < shortest {
 			best, shortest = p, d
 		}
 	}
@@ -194,37 +190,6 @@
 	return best
 }
 
-// skipped reports whether an agent gets no offer now.
-func (s *Steering) skipped(now time.Time, p *peer, mayQueue bool) bool {
-	if mayQueue && p.refusalReason != ReasonNone && p.refusalReason != ReasonFull && now.Sub(p.refusedAt) < offerRetryInterval {
-		return true
-	}
-	lasting := p.refusalReason == ReasonDraining || p.refusalReason == ReasonAbsent || p.refusalReason == ReasonSilent
-	if lasting && now.Sub(p.refusedAt) < offerRetryInterval {
-		return true
-	}
-	// A silent agent is tested by a ping, not by a caller's flow.
-	return s.silent(now, p)
-}
-
-// expectedLatency estimates how long an agent takes for another request.
-func (s *Steering) expectedLatency(now time.Time, p *peer, route *crdoc.Route) time.Duration {
-	slots, meanLatency := max(1, p.load.Slots), p.load.MeanLatency
-	if meanLatency <= 0 {
-		meanLatency = defaultLatency
-	}
-	inFlight := float64(p.offersSinceReport)
-	if now.Sub(p.loadReportedAt) < loadReportTTL {
-		inFlight += float64(p.load.Busy + p.load.Queued)
-	}
-	excess := max(0, inFlight+1-float64(slots)) / float64(slots)
-	d := float64(meanLatency) * (1 + excess + s.Random()/2)
-	// When nearly all slots are taken, the last ones may be gone when the
-	// offer arrives.
-	d += float64(meanLatency) * inFlight / float64(slots) / 2
-	return time.Duration(d) + s.failurePrice(now, p, route) + s.zonePrice(p, route)
-}
-
 // failurePrice returns what an agent's failures add to its expected latency. A failed
 // request costs its caller another try, and is lost if it may not be repeated, so a
 // failure adds a multiple of the target. The reported share decays as it does at the
@@ -308,7 +273,7 @@
 	}
 	f.asked, f.mayQueue, f.agentFull = append(f.asked[:0], p), false, false
 	route := s.routes[f.key.Service]
-	if route != nil && now.Sub(f.arrivedAt) < min(maxHold, route.Timeout.D()/4) {
+	if route != nil && now.Sub(f.arrivedAt) < holdTime(route) {
 		f.phase, f.owner = phaseOpening, nil
 		s.place(now, f, route)
 		return
--- a/internal/cropaque/routes.go
+++ b/internal/cropaque/routes.go
@@ -1,6 +1,7 @@
 package cropaque
 
 import (
+	"iter"
 	"net/netip"
 
 	"cardamomring.dev/internal/crwire"
@@ -52,3 +53,19 @@
 	}
 	return r.Shares[len(r.Shares)-1].Service
 }
+
+// servicesFor returns the services of a route in the order in which a flow is offered
+// to their agents: first the one that pickService picks.
+func servicesFor(r *crdoc.Route, point float64) iter.Seq[string] {
+	return func(yield func(string) bool) {
+		picked := pickService(r, point)
+		if !yield(picked) {
+			return
+		}
+		for _, share := range r.Shares {
+			if share.Service != picked && share.Weight > 0 && !yield(share.Service) {
+				return
+			}
+		}
+	}
+}
--- a/internal/cropaque/uplink.go
+++ b/internal/cropaque/uplink.go
@@ -139,10 +139,7 @@
 	flow := cregress.Flow(f.key)
 	// Packets of an earlier flow from the same port may wait.
 	s.uplink.queue.Drop(flow)
-	request := cregress.Request{
-		Flow: flow, ArrivedAt: f.arrivedAt, TargetAt: f.arrivedAt.Add(route.Target.D()), GiveUpAt: f.arrivedAt.Add(route.Timeout.D()),
-	}
-	switch s.uplink.turns.Arrive(now, request) {
+	switch s.uplink.turns.Arrive(now, uploadRequest(f.key, f.arrivedAt, route)) {
 	case cregress.VerdictRefuse:
 		s.refuseUpload(now, f, route)
 	case cregress.VerdictOpen:
@@ -152,6 +149,13 @@
 	s.runUplink(now)
 }
 
+// uploadRequest returns the request for a turn of an upload.
+func uploadRequest(key Key, arrivedAt time.Time, route *crdoc.Route) cregress.Request {
+	return cregress.Request{
+		Flow: cregress.Flow(key), ArrivedAt: arrivedAt, TargetAt: arrivedAt.Add(route.Target.D()), GiveUpAt: arrivedAt.Add(route.Timeout.D()),
+	}
+}
+
 // refuseUpload resets the caller of an upload that was never opened. It is placed
 // instead if a copy of its opening packet may have opened it by way of another balancer.
 func (s *Steering) refuseUpload(now time.Time, f *balancerFlow, route *crdoc.Route) {
