--- a/cmd/cardamomring/args.go
+++ b/cmd/cardamomring/args.go
@@ -46,6 +46,7 @@
 	Member   *memberArgs  `arg:"subcommand:member" help:"add, promote or remove a control instance"`
 	Backup   *backupArgs  `arg:"subcommand:backup" help:"check or restore a copy of a control instance's log"`
 	Status   *statusArgs  `arg:"subcommand:status" help:"show members, zones and the revision of each process"`
+	Explain  *explainArgs `arg:"subcommand:explain" help:"show where a balancer would send a new flow now, and why; nothing is sent"`
 	Audit    *auditArgs   `arg:"subcommand:audit" help:"print the audit trail of changes"`
 	Version  *versionArgs `arg:"subcommand:version" help:"print the version"`
 }
@@ -124,6 +125,8 @@
 		return runBackup(a.Backup, out, errOut)
 	case a.Status != nil:
 		return runStatus(ctx, a.Status, out, errOut)
+	case a.Explain != nil:
+		return runExplain(ctx, a.Explain, out, errOut)
 	case a.Audit != nil:
 		return runAudit(ctx, a.Audit, out, errOut)
 	default:
--- a/cmd/crnode/process.go
+++ b/cmd/crnode/process.go
@@ -53,7 +53,9 @@
 	// settings. It is nil for the control role, which reads the field controls.
 	setControls func(controls []string)
 	// listeners serve calls of the platform while the role runs.
-	listeners   []*crnet.Server
+	listeners []*crnet.Server
+	// explain explains where a flow would go; nil but for the balancer.
+	explain     http.HandlerFunc
 	metricsPort int
 	// bindIP is the IP address on which a control instance listens for the
 	// system's own processes.
@@ -110,6 +112,7 @@
 	}).Info("starting")
 	admin := &crobs.Admin{
 		Addr: net.JoinHostPort(s.IP, strconv.Itoa(p.metricsPort)), Registry: p.registry, Ready: func() error { return p.checkReady() },
+		Explain: p.explain,
 	}
 	if err := admin.Start(); err != nil {
 		return err
--- a/cmd/crnode/roles.go
+++ b/cmd/crnode/roles.go
@@ -87,6 +87,7 @@
 		Codec: codec, ControlFrames: controlFrames(s.Limits), LinkBytes: linkBytes(s.Limits), EvenLoad: evenLoad, DrainTime: p.boundByStopGrace(balancerDrainTime), Client: p.client, Registry: p.registry, Logger: p.logger,
 	}
 	p.runRole, p.checkReady, p.setControls = b.Run, b.Serving, b.SetSources
+	p.explain = b.HandleExplain
 }
 
 // setUpAgent sets the process up to run an agent.
--- a/internal/crfeed/follower.go
+++ b/internal/crfeed/follower.go
@@ -237,6 +237,14 @@
 	return !f.confirmedAt.IsZero() && time.Since(f.confirmedAt) <= d
 }
 
+// ConfirmedAge returns the time since a control instance has confirmed that the view is
+// in force, and false if none has.
+func (f *Follower) ConfirmedAge() (time.Duration, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return time.Since(f.confirmedAt), !f.confirmedAt.IsZero()
+}
+
 // initialize sets the empty view and the defaults of the fields.
 func (f *Follower) initialize() {
 	f.view = EmptyView()
--- a/internal/crobs/admin.go
+++ b/internal/crobs/admin.go
@@ -25,6 +25,8 @@
 	Ready func() error
 	// EnablePprof adds the paths below /debug/pprof/.
 	EnablePprof bool
+	// Explain serves /explain, if it isn't nil.
+	Explain http.HandlerFunc
 
 	server *crnet.Server
 }
@@ -76,6 +78,9 @@
 	mux.Handle("GET /metrics", promhttp.HandlerFor(a.Registry, promhttp.HandlerOpts{}))
 	mux.HandleFunc("GET /healthz", a.serveHealth)
 	mux.HandleFunc("GET /readyz", a.serveReady)
+	if a.Explain != nil {
+		mux.HandleFunc("GET /explain", a.Explain)
+	}
 	if a.EnablePprof {
 		mux.HandleFunc("/debug/pprof/", pprof.Index)
 		mux.HandleFunc("/debug/pprof/profile", pprof.Profile)
--- a/internal/cropaque/explain.go
+++ b/internal/cropaque/explain.go
@@ -39,9 +39,13 @@
 	// Revision is that of the view in force. Fresh is set while control confirms it.
 	Revision uint64 `json:"rev"`
 	Fresh    bool   `json:"fresh"`
+	// Age is the time since control confirmed the view, nil if that isn't known.
+	Age *crdoc.Duration `json:"age,omitempty"`
 	// Zone is the balancer's availability zone.
-	Zone   string         `json:"zone"`
-	Caller netip.AddrPort `json:"caller"`
+	Zone string `json:"zone"`
+	// Caller and Address are where the flow comes from and goes to.
+	Caller  netip.AddrPort `json:"caller"`
+	Address netip.AddrPort `json:"address"`
 	// Route is the name of the route.
 	Route string `json:"route,omitempty"`
 	// Owner is the agent that has a flow with the same addresses now, if it is known.
@@ -134,7 +138,7 @@
 // Explain returns where a new flow would go and why, by the functions that decide it.
 // It sends nothing, draws no random number and changes no later decision.
 func (s *Steering) Explain(now time.Time, key Key) Explanation {
-	e := Explanation{Revision: s.view.Revision, Fresh: s.ViewFresh(), Zone: s.Zone, Caller: key.Caller}
+	e := Explanation{Revision: s.view.Revision, Fresh: s.ViewFresh(), Zone: s.Zone, Caller: key.Caller, Address: key.Service}
 	if f := s.flows[key]; f != nil && f.phase == phaseOwned && f.owner != nil {
 		e.Owner = f.owner.member.Name
 	}
--- a/internal/cropaque/routes.go
+++ b/internal/cropaque/routes.go
@@ -2,7 +2,9 @@
 
 import (
 	"iter"
+	"maps"
 	"net/netip"
+	"slices"
 
 	"cardamomring.dev/internal/crwire"
 	"cardamomring.dev/pkg/crdoc"
@@ -24,6 +26,11 @@
 	return out
 }
 
+// RouteAddrs returns the addresses of the routes in force, sorted.
+func (s *Steering) RouteAddrs() []netip.AddrPort {
+	return slices.SortedFunc(maps.Keys(s.routes), netip.AddrPort.Compare)
+}
+
 // routesTo reports whether a route leads to a service.
 func routesTo(r *crdoc.Route, service string) bool {
 	if r == nil {
