--- a/internal/cropaque/explain.go
+++ b/internal/cropaque/explain.go
@@ -102,7 +102,9 @@
 	Odds float64 `json:"odds"`
 }
 
-// ReportOutlook is an agent's report.
+// ReportOutlook is an agent's report: the requests that its backend server runs at
+// most, runs and queues, their average time, the share that failed in thousandths, and
+// the flows that callers keep open.
 type ReportOutlook struct {
 	Age      crdoc.Duration `json:"age"`
 	Slots    int            `json:"slots"`
--- a/internal/cropaqueio/explain.go
+++ b/internal/cropaqueio/explain.go
@@ -50,7 +50,7 @@
 			more = fmt.Sprintf(" and %d more", len(routes)-maxListedRoutes)
 			routes = routes[:maxListedRoutes]
 		}
-		http.Error(w, fmt.Sprintf("no route has the address %s in revision %d; a caller is reset. Routes: %v%s", key.Service, e.Revision, routes, more), http.StatusNotFound)
+		http.Error(w, fmt.Sprintf("no route has the address %s in revision %d, so callers are reset. Routes: %v%s", key.Service, e.Revision, routes, more), http.StatusNotFound)
 		return
 	}
 	if known {
