cardamomring: explain answers for HTTP services, too

Change: the admin listener of cardamomring balancer serves /explain: service, class, the chain of a new flow of the caller (Plan.Foresee, by the function that Route uses) and the agents of the plain listener. The limit of 10 a second moves to crobs.Admin, and its test with it: TestAdminLimitsExplanations checks each second, as strictly as the case in cropaqueio did.

These balancers know no loads, so there is no expected latency.

--- a/cmd/cardamomring/args.go
+++ b/cmd/cardamomring/args.go
@@ -46,7 +46,7 @@
 	Member   *memberArgs  `arg:"subcommand:member" help:"add, promote or remove a control instance"`
 	Backup   *backupArgs  `arg:"subcommand:backup" help:"check or restore a copy of a control instance's log"`
 	Status   *statusArgs  `arg:"subcommand:status" help:"show members, zones and the revision of each process"`
-	Explain  *explainArgs `arg:"subcommand:explain" help:"show where a balancer would send a new flow now, and why; nothing is sent"`
+	Explain  *explainArgs `arg:"subcommand:explain" help:"show where a balancer would send a new flow or request now, and why; nothing is sent"`
 	Audit    *auditArgs   `arg:"subcommand:audit" help:"print the audit trail of changes"`
 	Version  *versionArgs `arg:"subcommand:version" help:"print the version"`
 }
--- a/cmd/cardamomring/explain.go
+++ b/cmd/cardamomring/explain.go
@@ -7,11 +7,13 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/netip"
 	"net/url"
 	"strings"
 	"text/tabwriter"
 	"time"
 
+	"cardamomring.dev/internal/crbalancer"
 	"cardamomring.dev/internal/crnet"
 	"cardamomring.dev/internal/cropaque"
 	"cardamomring.dev/pkg/crdoc"
@@ -19,32 +21,54 @@
 
 // explainArgs are the arguments of explain.
 type explainArgs struct {
-	Address  string        `arg:"positional,required" placeholder:"ADDRESS" help:"IP:PORT that the caller sends to, or the IP if only one route has it"`
+	Address  string        `arg:"positional" placeholder:"ADDRESS" help:"of an opaque service: IP:PORT that the caller sends to, or the IP if only one route has it"`
+	Host     string        `arg:"--host" placeholder:"NAME" help:"of an HTTP service: its name or host name"`
+	Path     string        `arg:"--path" default:"/" help:"path of the HTTP request"`
+	Method   string        `arg:"--method" default:"GET" help:"method of the HTTP request"`
 	Balancer string        `arg:"--balancer,required" placeholder:"HOST:PORT" help:"where the balancer serves its metrics"`
 	Caller   string        `arg:"--caller" placeholder:"IP:PORT" help:"where the flow comes from; an example when absent"`
 	JSON     bool          `arg:"--json" help:"print JSON"`
 	Timeout  time.Duration `arg:"--timeout" default:"5s" help:"time to wait for the balancer"`
 }
 
-// runExplain prints where a balancer would send a new flow. The exit code is 1 if the
+// explanation is what opaque and HTTP services have in common.
+type explanation struct {
+	Revision uint64          `json:"rev"`
+	Fresh    bool            `json:"fresh"`
+	Age      *crdoc.Duration `json:"age"`
+}
+
+// runExplain prints where a balancer would send a new flow or request. The exit code is 1 if the
 // balancer can't say, or if its view is old.
 func runExplain(ctx context.Context, a *explainArgs, out, errOut io.Writer) int {
+	if (a.Address == "") == (a.Host == "") {
+		fmt.Fprintln(errOut, "explain: want either ADDRESS or --host")
+		return exitUsage
+	}
 	ctx, cancel := context.WithTimeout(ctx, a.Timeout)
 	defer cancel()
 	client := &crnet.Client{}
 	client.Open()
 	defer client.Close()
-	var e cropaque.Explanation
 	query := url.Values{"address": {a.Address}, "caller": {a.Caller}}
-	if err := client.JSON(ctx, a.Balancer, "/explain?"+query.Encode(), nil, &e); err != nil {
+	if a.Host != "" {
+		query = url.Values{"host": {a.Host}, "path": {a.Path}, "method": {a.Method}, "caller": {a.Caller}}
+	}
+	var data json.RawMessage
+	if err := client.JSON(ctx, a.Balancer, "/explain?"+query.Encode(), nil, &data); err != nil {
 		return printExplainError(errOut, a, err)
 	}
-	if err := printExplanation(out, &e, a); err != nil {
+	var e explanation
+	err := json.Unmarshal(data, &e)
+	if err == nil {
+		err = a.print(out, data)
+	}
+	if err != nil {
 		fmt.Fprintln(errOut, err)
 		return exitFailed
 	}
 	if !e.Fresh {
-		fmt.Fprintf(errOut, "view too old: control has not confirmed revision %d lately (age %s)\n", e.Revision, formatAge(e.Age))
+		fmt.Fprintf(errOut, "view too old: control has not confirmed revision %d lately: confirmed %s\n", e.Revision, formatAge(e.Age))
 		return exitFailed
 	}
 	return exitOK
@@ -59,7 +83,7 @@
 	}
 	text := strings.TrimSpace(status.Body)
 	if text == "404 page not found" {
-		text = "explains nothing; only balancers of opaque services do"
+		text = "explains nothing; only balancers do"
 	}
 	fmt.Fprintf(errOut, "balancer %s: %s\n", a.Balancer, text)
 	if status.Status == http.StatusBadRequest {
@@ -68,19 +92,76 @@
 	return exitFailed
 }
 
-// printExplanation prints an explanation as text or JSON.
-func printExplanation(out io.Writer, e *cropaque.Explanation, a *explainArgs) error {
+// print prints an explanation as text or JSON.
+func (a *explainArgs) print(out io.Writer, data json.RawMessage) error {
 	if a.JSON {
 		enc := json.NewEncoder(out)
 		enc.SetIndent("", "  ")
-		return enc.Encode(e)
+		return enc.Encode(data)
 	}
-	from := e.Caller.String()
+	if a.Host != "" {
+		var e crbalancer.Explanation
+		if err := json.Unmarshal(data, &e); err != nil {
+			return err
+		}
+		return a.printRequest(out, &e)
+	}
+	var e cropaque.Explanation
+	if err := json.Unmarshal(data, &e); err != nil {
+		return err
+	}
+	return a.printFlow(out, &e)
+}
+
+// from returns the caller for the output.
+func (a *explainArgs) from(caller netip.AddrPort) string {
 	if a.Caller == "" {
-		from += " (an example; the short list depends on the caller)"
+		return caller.String() + " (an example; the agents depend on the caller)"
 	}
-	fmt.Fprintf(out, "flow      %s to %s, route %s\n", from, e.Address, e.Route)
-	fmt.Fprintf(out, "view      revision %d, confirmed %s ago\n", e.Revision, formatAge(e.Age))
+	return caller.String()
+}
+
+// printRequest prints where a request to an HTTP service would go.
+func (a *explainArgs) printRequest(out io.Writer, e *crbalancer.Explanation) error {
+	class := "none matches; the request is refused"
+	if c := e.Class; c != nil {
+		class = fmt.Sprintf("%s, priority %t, repeatable %t, deadline %s", c.Name, c.Priority, c.Repeatable, c.Deadline.D())
+	}
+	fmt.Fprintf(out, "request   %s %s from %s to service %s\n", a.Method, a.Path, a.from(e.Caller), e.Service)
+	fmt.Fprintf(out, "view      revision %d, confirmed %s\n", e.Revision, formatAge(e.Age))
+	fmt.Fprintf(out, "class     %s\n", class)
+	fmt.Fprintf(out, "chain     of a new flow:%s\n\n", chainText(e.Chain))
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "AGENT\tZONE\tSTATE\tODDS ON THE PLAIN LISTENER")
+	for _, g := range e.Agents {
+		state := g.State.String()
+		if g.ZoneOut {
+			state += ", zone out"
+		}
+		fmt.Fprintf(w, "%s\t%s\t%s\t%.1f%%\n", g.Name, g.Zone, state, 100*g.Odds)
+	}
+	return w.Flush()
+}
+
+// chainText returns the agents of a chain in order.
+func chainText(chain []crbalancer.ChainLink) string {
+	if len(chain) == 0 {
+		return " no agent; it is dropped"
+	}
+	text := ""
+	for _, l := range chain {
+		text += " " + l.Name
+		if !l.Accepts {
+			text += " (if it owns the flow)"
+		}
+	}
+	return text
+}
+
+// printFlow prints where a flow to an opaque service would go.
+func (a *explainArgs) printFlow(out io.Writer, e *cropaque.Explanation) error {
+	fmt.Fprintf(out, "flow      %s to %s, route %s\n", a.from(e.Caller), e.Address, e.Route)
+	fmt.Fprintf(out, "view      revision %d, confirmed %s\n", e.Revision, formatAge(e.Age))
 	fmt.Fprintf(out, "outcome   %s: %s\n", e.Outcome, outcomeText(e))
 	if e.Owner != "" {
 		fmt.Fprintf(out, "owner     a flow with these addresses is open at %s; its packets go there\n", e.Owner)
@@ -148,10 +229,10 @@
 	return d.D().Round(100 * time.Microsecond).String()
 }
 
-// formatAge returns an age that may be unknown.
+// formatAge returns how long ago something was, if that is known.
 func formatAge(age *crdoc.Duration) string {
 	if age == nil {
-		return "unknown"
+		return "at an unknown time"
 	}
-	return formatTime(*age)
+	return formatTime(*age) + " ago"
 }
--- a/cmd/cardamomring/explain_test.go
+++ b/cmd/cardamomring/explain_test.go
@@ -13,13 +13,14 @@
 	"github.com/google/go-cmp/cmp"
 	"github.com/google/go-cmp/cmp/cmpopts"
 
+	"cardamomring.dev/internal/crbalancer"
 	"cardamomring.dev/internal/crnet"
 	"cardamomring.dev/internal/cropaque"
 	"cardamomring.dev/pkg/crdoc"
 )
 
-// explanation is what a balancer answers in the tests.
-func explanation() cropaque.Explanation {
+// flowExplanation is what a balancer answers in the tests.
+func flowExplanation() cropaque.Explanation {
 	age := crdoc.Duration(220 * time.Millisecond)
 	return cropaque.Explanation{
 		Revision: 7, Fresh: true, Age: &age, Zone: "a", Caller: netip.MustParseAddrPort("192.0.2.1:1024"), Address: netip.MustParseAddrPort("198.18.0.1:443"),
@@ -51,10 +52,10 @@
 
 // TestExplainText checks the printed text, also of an old view.
 func TestExplainText(t *testing.T) {
-	e := explanation()
+	e := flowExplanation()
 	h := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { crnet.WriteJSON(w, http.StatusOK, &e) })
 	code, out, errs := explainWith(h)
-	want := `flow      192.0.2.1:1024 (an example; the short list depends on the caller) to 198.18.0.1:443, route deposits
+	want := `flow      192.0.2.1:1024 (an example; the agents depend on the caller) to 198.18.0.1:443, route deposits
 view      revision 7, confirmed 220ms ago
 outcome   offered: to the agent with the shortest expected latency
 
@@ -68,14 +69,42 @@
 	}
 	e.Fresh = false
 	code, _, errs = explainWith(h)
-	if diff := cmp.Diff("view too old: control has not confirmed revision 7 lately (age 220ms)\n", errs); diff != "" || code != exitFailed {
+	if diff := cmp.Diff("view too old: control has not confirmed revision 7 lately: confirmed 220ms ago\n", errs); diff != "" || code != exitFailed {
 		t.Errorf("exit code %d, errors for an old view (-want +got):\n%s", code, diff)
 	}
 }
 
+// TestExplainRequestText checks the printed text of a request to an HTTP service.
+func TestExplainRequestText(t *testing.T) {
+	h := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		crnet.WriteJSON(w, http.StatusOK, &crbalancer.Explanation{
+			Revision: 7, Fresh: true, Service: r.URL.Query().Get("host"), Caller: netip.MustParseAddrPort("100.64.0.1:9"),
+			Class:  &crdoc.Class{Name: "lookup", Repeatable: true, Deadline: crdoc.Duration(time.Second)},
+			Chain:  []crbalancer.ChainLink{{Name: "agent-2"}, {Name: "agent-1", Accepts: true}},
+			Agents: []crbalancer.AgentOutlook{{Name: "agent-1", Zone: "a", Odds: 1}, {Name: "agent-2", Zone: "b", ZoneOut: true}},
+		})
+	})
+	server := httptest.NewServer(h)
+	defer server.Close()
+	var out, errs bytes.Buffer
+	code := run([]string{"explain", "--host", "loftbook", "--path", "/bands/7", "--caller", "100.64.0.1:9", "--balancer", strings.TrimPrefix(server.URL, "http://")}, &out, &errs)
+	want := `request   GET /bands/7 from 100.64.0.1:9 to service loftbook
+view      revision 7, confirmed at an unknown time
+class     lookup, priority false, repeatable true, deadline 1s
+chain     of a new flow: agent-2 (if it owns the flow) agent-1
+
+AGENT    ZONE  STATE             ODDS ON THE PLAIN LISTENER
+agent-1  a     active            100.0%
+agent-2  b     active, zone out  0.0%
+`
+	if diff := cmp.Diff(want, out.String()); diff != "" || code != exitOK || errs.Len() > 0 {
+		t.Errorf("exit code %d, errors %q, output (-want +got):\n%s", code, errs.String(), diff)
+	}
+}
+
 // TestExplainJSON checks that the printed JSON has what the balancer answered.
 func TestExplainJSON(t *testing.T) {
-	e := explanation()
+	e := flowExplanation()
 	code, out, _ := explainWith(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { crnet.WriteJSON(w, http.StatusOK, &e) }), "--json")
 	var got cropaque.Explanation
 	if err := json.Unmarshal([]byte(out), &got); err != nil {
@@ -109,7 +138,7 @@
 		{exitUsage, "balancer ADDR: bad\n"},
 		{exitFailed, "balancer ADDR: no route\n"},
 		{exitFailed, "balancer ADDR: too many\n"},
-		{exitFailed, "balancer ADDR: explains nothing; only balancers of opaque services do\n"},
+		{exitFailed, "balancer ADDR: explains nothing; only balancers do\n"},
 	}
 	if diff := cmp.Diff(want, got); diff != "" {
 		t.Errorf("results (-want +got):\n%s", diff)
--- a/cmd/cardamomring/role.go
+++ b/cmd/cardamomring/role.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net/http"
 	"os"
 	"sync/atomic"
 	"time"
@@ -34,6 +35,8 @@
 	checkServing func() error
 	// runRole runs the role until ctx ends.
 	runRole func(ctx context.Context) error
+	// explain explains where a request would go; nil but for the balancer.
+	explain http.HandlerFunc
 }
 
 // runRole runs the role that a settings file describes until ctx ends.
@@ -63,7 +66,7 @@
 	switch p.role {
 	case crdoc.RoleBalancer:
 		b := &crbalancer.Balancer{Settings: p.settings, Ready: p.markListening, Registry: p.registry, Logf: p.logger.Warnf}
-		p.runRole, p.checkServing = b.Run, b.Serving
+		p.runRole, p.checkServing, p.explain = b.Run, b.Serving, b.HandleExplain
 	case crdoc.RoleAgent:
 		a := &cragent.Agent{Settings: p.settings, Ready: p.markListening, Registry: p.registry, Logf: p.logger.Warnf}
 		p.runRole, p.checkServing = a.Run, a.Serving
@@ -77,6 +80,7 @@
 func (p *process) serve(ctx context.Context) error {
 	admin := &crobs.Admin{
 		Addr: p.settings.Admin, Registry: p.registry, Ready: p.checkReady, EnablePprof: p.settings.Profile,
+		Explain: p.explain,
 	}
 	if err := admin.Start(); err != nil {
 		return err
--- a/internal/crbalancer/balancer.go
+++ b/internal/crbalancer/balancer.go
@@ -48,6 +48,7 @@
 	client   *crnet.Client
 	caller   *crrun.Client
 	view     atomic.Pointer[crwire.View]
+	follower atomic.Pointer[crfeed.Follower]
 	inFlight atomic.Int64
 	wg       sync.WaitGroup
 	// forwarder passes datagrams. It is nil if the settings disable datagrams.
@@ -91,6 +92,7 @@
 		OnView: b.setView, OnConnectivity: b.logFeedState,
 	}
 	b.pullFrom = follower.Hint
+	b.follower.Store(follower)
 	loopCtx, cancel := context.WithCancel(context.Background())
 	if err := b.openDatagrams(loopCtx.Done()); err != nil {
 		cancel()
--- a/internal/crobs/admin.go
+++ b/internal/crobs/admin.go
@@ -25,10 +25,12 @@
 	Ready func() error
 	// EnablePprof adds the paths below /debug/pprof/.
 	EnablePprof bool
-	// Explain serves /explain, if it isn't nil.
+	// Explain serves /explain, at most maxExplanations times a second, if it isn't
+	// nil.
 	Explain http.HandlerFunc
 
-	server *crnet.Server
+	explained limiter
+	server    *crnet.Server
 }
 
 // NewRegistry returns a registry with the metrics of the Go runtime and of
@@ -79,7 +81,7 @@
 	mux.HandleFunc("GET /healthz", a.serveHealth)
 	mux.HandleFunc("GET /readyz", a.serveReady)
 	if a.Explain != nil {
-		mux.HandleFunc("GET /explain", a.Explain)
+		mux.HandleFunc("GET /explain", a.serveExplain)
 	}
 	if a.EnablePprof {
 		mux.HandleFunc("/debug/pprof/", pprof.Index)
--- a/internal/crobs/admin_test.go
+++ b/internal/crobs/admin_test.go
@@ -9,6 +9,7 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/google/go-cmp/cmp"
 	"go.uber.org/goleak"
@@ -45,6 +46,26 @@
 	}
 }
 
+// TestAdminLimitsExplanations checks that explanations beyond ten in a second are refused.
+func TestAdminLimitsExplanations(t *testing.T) {
+	admin := &crobs.Admin{Addr: "127.0.0.1:0", Registry: crobs.NewRegistry(), Explain: func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "here") }}
+	if err := admin.Start(); err != nil {
+		t.Fatal(err)
+	}
+	counts := map[string]int{}
+	startedAt := time.Now()
+	for range 30 {
+		counts[get(t, admin, "/explain")]++
+	}
+	seconds := 1 + int(time.Since(startedAt)/time.Second)
+	if counts["200 here"] < 10 || counts["200 here"] > 10*seconds || counts["200 here"]+counts["429 more than 10 explanations in a second; try again"] != 30 {
+		t.Errorf("answers %v in %d s, want 10 explanations in each and status 429 for the others", counts, seconds)
+	}
+	if err := admin.Stop(context.Background()); err != nil {
+		t.Error(err)
+	}
+}
+
 // get returns the status code and the body of the response to a path.
 func get(t *testing.T, admin *crobs.Admin, path string) string {
 	t.Helper()
--- a/internal/cropaqueio/balancer.go
+++ b/internal/cropaqueio/balancer.go
@@ -81,9 +81,6 @@
 	// calls setView, which takes mu, with its own lock held.
 	viewFresh bool
 	stopping  bool
-	// explained counts the explanations of the second from explainedAt on.
-	explained   int
-	explainedAt time.Time
 }
 
 // Run forwards until ctx ends and for DrainTime after that.
--- a/internal/cropaqueio/explain.go
+++ b/internal/cropaqueio/explain.go
@@ -11,13 +11,8 @@
 	"cardamomring.dev/pkg/crdoc"
 )
 
-const (
-	// maxExplanations limits the explanations in a second, which take time from
-	// callers' packets: each about as much as a dozen new flows.
-	maxExplanations = 10
-	// maxListedRoutes limits the routes that an error names.
-	maxListedRoutes = 8
-)
+// maxListedRoutes limits the routes that an error names.
+const maxListedRoutes = 8
 
 // exampleCaller is the caller if none is named; the address belongs to nobody.
 var exampleCaller = netip.MustParseAddrPort("192.0.2.1:1024")
@@ -26,10 +21,6 @@
 // parameter caller (IP:PORT, may be absent) to the parameter address (IP:PORT of a route,
 // or its IP if only one has it). It may be called before Run.
 func (b *Balancer) HandleExplain(w http.ResponseWriter, r *http.Request) {
-	if !b.admitExplanation(time.Now()) {
-		http.Error(w, fmt.Sprintf("more than %d explanations in a second; try again", maxExplanations), http.StatusTooManyRequests)
-		return
-	}
 	if err := b.Serving(); err != nil {
 		http.Error(w, "not ready: "+err.Error(), http.StatusServiceUnavailable)
 		return
@@ -59,18 +50,6 @@
 	crnet.WriteJSON(w, http.StatusOK, &e)
 }
 
-// admitExplanation reports whether there may be another explanation in this second,
-// and counts it.
-func (b *Balancer) admitExplanation(now time.Time) bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if now.Sub(b.explainedAt) >= time.Second {
-		b.explained, b.explainedAt = 0, now
-	}
-	b.explained++
-	return b.explained <= maxExplanations
-}
-
 // explainedKey returns the flow that query parameters name.
 func (b *Balancer) explainedKey(address, caller string) (cropaque.Key, error) {
 	key := cropaque.Key{Caller: exampleCaller}
--- a/internal/cropaqueio/explain_test.go
+++ b/internal/cropaqueio/explain_test.go
@@ -108,7 +108,6 @@
 	for time.Now().Before(deadline) {
 		if b.Serving() == nil {
 			if _, _, e := explain(t, url, "address=198.18.0.1"); e.Age != nil && e.Fresh {
-				time.Sleep(time.Second)
 				return
 			}
 		}
@@ -117,8 +116,7 @@
 	t.Fatal("the balancer has no confirmed view after 10 s")
 }
 
-// TestExplainErrors checks the answers to questions that can't be explained, and those
-// beyond the rate.
+// TestExplainErrors checks the answers to questions that can't be explained.
 func TestExplainErrors(t *testing.T) {
 	var answers atomic.Bool
 	b, url := startBalancer(t, &answers)
@@ -137,11 +135,7 @@
 	for _, query := range []string{"", "address=ledger:443", "address=198.18.0.1&caller=100.64.0.1", "address=198.18.0.2", "address=198.18.0.9:1"} {
 		ask(query)
 	}
-	for range 5 {
-		ask("address=198.18.0.1:443&caller=100.64.0.1:9")
-	}
-	ask("address=198.18.0.1:443")
-	ok := answer{Status: http.StatusOK}
+	ask("address=198.18.0.1:443&caller=100.64.0.1:9")
 	want := []answer{
 		{http.StatusServiceUnavailable, "not ready: no catalog or no agent received from control yet"},
 		{http.StatusBadRequest, `address "": want IP:PORT or IP`},
@@ -149,8 +143,7 @@
 		{http.StatusBadRequest, `caller "100.64.0.1": want IP:PORT`},
 		{http.StatusBadRequest, "2 routes have the IP address 198.18.0.2; name one with its port"},
 		{http.StatusNotFound, "no route has the address 198.18.0.9:1 in revision 7, so callers are reset. Routes: [198.18.0.1:443 198.18.0.2:443 198.18.0.2:444]"},
-		ok, ok, ok, ok, ok,
-		{http.StatusTooManyRequests, "more than 10 explanations in a second; try again"},
+		{Status: http.StatusOK},
 	}
 	if diff := cmp.Diff(want, got); diff != "" {
 		t.Errorf("answers (-want +got):\n%s", diff)
--- a/internal/crroute/router.go
+++ b/internal/crroute/router.go
@@ -208,6 +208,17 @@
 	return p.routeNewFlow(svc, FlowKey(caller, svc.tag), out)
 }
 
+// Foresee routes the first datagram that a caller would send to a service now, as Route
+// does.
+func (p *Plan) Foresee(name string, caller netip.AddrPort, out *Route) Reason {
+	svc := p.services[name]
+	if svc == nil {
+		return ReasonService
+	}
+	*out = Route{}
+	return p.routeNewFlow(svc, FlowKey(caller, svc.tag), out)
+}
+
 // routeToOwner routes a datagram to the agent that its connection ID names. If
 // that agent has departed or its availability zone is out of service, the
 // datagram goes to another agent of the service. All agents share the key of
--- a/internal/crroute/router_test.go
+++ b/internal/crroute/router_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+	"github.com/google/go-cmp/cmp/cmpopts"
 
 	"cardamomring.dev/internal/crroute"
 	"cardamomring.dev/internal/crwire"
@@ -159,6 +160,29 @@
 	}
 }
 
+// TestForesee checks that the chain that is foreseen for callers is that of their first
+// datagram, also while a replaced table is kept.
+func TestForesee(t *testing.T) {
+	s := newSealer(t, "one")
+	var router crroute.Router
+	router.Update(newView(1, 9), epoch)
+	v := newView(2, 9)
+	delete(v.Members, 3)
+	v.ZonesOut = []string{"zone2"}
+	plan := router.Update(v, epoch.Add(time.Second))
+	for i := range 200 {
+		from := netip.AddrPortFrom(caller.Addr(), uint16(i))
+		var want, got crroute.Route
+		reasons := [2]crroute.Reason{plan.Route(s, "ledger", from, initialPacket(), &want), plan.Foresee("ledger", from, &got)}
+		if diff := cmp.Diff(want, got, cmpopts.EquateComparable(netip.AddrPort{})); diff != "" || reasons[0] != reasons[1] {
+			t.Fatalf("reasons %v, route (-routed +foreseen):\n%s", reasons, diff)
+		}
+	}
+	if reason := plan.Foresee("none", caller, &crroute.Route{}); reason != crroute.ReasonService {
+		t.Errorf("reason %s for an unknown service", reason)
+	}
+}
+
 // TestRouteReplacedTables checks that a chain begins with the first agent of a
 // replaced table until that table expires, unless the agent's zone is out of
 // service.
