cropaqueio: metrics of the link don't end a scrape before the first upload route

Cause: a scrape of a balancer whose link is known, before it knew a route for uploads or had opened its sockets, read an empty list and panicked. Change: drops are a map; a balancer that isn't open has no figures. Bytes sent to agents are counted by kind of frame.

--- a/internal/cropaque/uplink.go
+++ b/internal/cropaque/uplink.go
@@ -48,8 +48,8 @@
 	// for one, and Moved counts those that came from other balancers.
 	Turns, Waiting int
 	Moved          uint64
-	// Dropped counts the packets that were dropped, by cregress.DropReason.
-	Dropped []uint64
+	// Dropped counts the packets that were dropped.
+	Dropped map[cregress.DropReason]uint64
 }
 
 // uplink is the state of a balancer's entry link while uploads share it.
@@ -299,7 +299,7 @@
 
 // UplinkStats returns the figures of the entry link.
 func (s *Steering) UplinkStats() UplinkStats {
-	var stats UplinkStats
+	stats := UplinkStats{Dropped: map[cregress.DropReason]uint64{}}
 	if s.uplink == nil {
 		return stats
 	}
@@ -307,7 +307,7 @@
 	stats.Turns, stats.Waiting = s.uplink.turns.Counts()
 	stats.Moved = s.uplink.turns.Moved()
 	for _, reason := range cregress.DropReasonValues() {
-		stats.Dropped = append(stats.Dropped, s.uplink.queue.Dropped(reason))
+		stats.Dropped[reason] = s.uplink.queue.Dropped(reason)
 	}
 	return stats
 }
--- a/internal/cropaque/uplink_test.go
+++ b/internal/cropaque/uplink_test.go
@@ -1,6 +1,7 @@
 package cropaque_test
 
 import (
+	"maps"
 	"net/netip"
 	"slices"
 	"testing"
@@ -9,6 +10,7 @@
 	"github.com/google/go-cmp/cmp"
 	"github.com/google/go-cmp/cmp/cmpopts"
 
+	"cardamomring.dev/internal/cregress"
 	"cardamomring.dev/internal/cropaque"
 	"cardamomring.dev/internal/crwire"
 	"cardamomring.dev/pkg/crdoc"
@@ -167,8 +169,10 @@
 	if diff := cmp.Diff([]any{4, 0, uint64(4)}, []any{len(seen), stats.Packets, stats.Moved}); diff != "" {
 		t.Errorf("callers carried, packets waiting, uploads moved (-want +got):\n%s", diff)
 	}
-	if stats.Dropped[0] == 0 || slices.Max(stats.Dropped[1:]) > 0 || len(r.resets) > 0 {
-		t.Errorf("dropped %v, %d resets", stats.Dropped, len(r.resets))
+	copies := stats.Dropped[cregress.DropCopy]
+	delete(stats.Dropped, cregress.DropCopy)
+	if copies == 0 || slices.Max(slices.Collect(maps.Values(stats.Dropped))) > 0 || len(r.resets) > 0 {
+		t.Errorf("%d copies and %v dropped, %d resets", copies, stats.Dropped, len(r.resets))
 	}
 }
 
--- a/internal/cropaqueio/balancer.go
+++ b/internal/cropaqueio/balancer.go
@@ -202,6 +202,9 @@
 // send with mu held.
 func (b *Balancer) send(to netip.AddrPort, f *cropaque.Frame) {
 	b.buf = f.Append(b.buf[:0])
+	if b.uplink.bytes != nil {
+		b.uplink.bytes.WithLabelValues(f.Kind.String()).Add(float64(len(b.buf)))
+	}
 	if b.frameSocket.Send(b.buf, to) != nil {
 		b.datagramCount.WithLabelValues("unsent").Inc()
 	}
--- a/internal/cropaqueio/uplinkmetrics.go
+++ b/internal/cropaqueio/uplinkmetrics.go
@@ -12,6 +12,8 @@
 // uplinkMetrics are the metrics of a balancer's entry link.
 type uplinkMetrics struct {
 	turnWait, packetWait prometheus.Histogram
+	// bytes counts what is sent to agents by the kind of its frame.
+	bytes *prometheus.CounterVec
 }
 
 // registerUplinkMetrics registers the metrics of a balancer's entry link.
@@ -24,12 +26,15 @@
 	b.uplink = uplinkMetrics{
 		turnWait:   newHistogram("turn_wait_seconds", "Time from an upload's first packet until it was opened to agents."),
 		packetWait: newHistogram("packet_wait_seconds", "Time that a packet of an upload waited for the link."),
+		bytes: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: "cardamomring", Subsystem: "uplink", Name: "bytes_total", Help: "Bytes of frames sent to agents, without the headers of datagrams.",
+		}, []string{"kind"}),
 	}
 	gauge := func(name, help string, value func(s cropaque.UplinkStats) float64) prometheus.Collector {
 		opts := prometheus.GaugeOpts{Namespace: "cardamomring", Subsystem: "uplink", Name: name, Help: help}
 		return prometheus.NewGaugeFunc(opts, func() float64 { return value(b.uplinkStats()) })
 	}
-	b.Registry.MustRegister(b.uplink.turnWait, b.uplink.packetWait,
+	b.Registry.MustRegister(b.uplink.turnWait, b.uplink.packetWait, b.uplink.bytes,
 		gauge("packets_waiting", "Packets of uploads that wait for the link.", func(s cropaque.UplinkStats) float64 { return float64(s.Packets) }),
 		gauge("bytes_waiting", "Bytes of uploads that wait for the link.", func(s cropaque.UplinkStats) float64 { return float64(s.Bytes) }),
 		gauge("turns", "Uploads that have a turn.", func(s cropaque.UplinkStats) float64 { return float64(s.Turns) }),
@@ -49,6 +54,9 @@
 func (b *Balancer) uplinkStats() cropaque.UplinkStats {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if b.steering == nil {
+		return cropaque.UplinkStats{}
+	}
 	return b.steering.UplinkStats()
 }
 
