--- a/internal/cropaque/agentflow.go
+++ b/internal/cropaque/agentflow.go
@@ -14,11 +14,19 @@
 	ackSlack = 2
 )
 
+// offerFrom identifies an offer: the balancer that sent it and its number there.
+type offerFrom struct {
+	balancer netip.AddrPort
+	number   uint64
+}
+
 // agentFlow is the state of a flow on an agent.
 type agentFlow struct {
 	key Key
 	// balancer is the balancer that sent the latest packet of the flow.
 	balancer netip.AddrPort
+	// offer is the latest offer of the flow. A refusal answers it.
+	offer offerFrom
 	// callerISN and serverISN are the initial sequence numbers of both ends.
 	callerISN, serverISN uint32
 	// sentBytes is how many bytes the backend server has sent since serverISN.
@@ -36,6 +44,13 @@
 	ended bool
 	// callerAck is the caller's latest acknowledgement number.
 	callerAck uint32
+	// requests counts the requests of the flow, answeredAt is when the first one
+	// was answered. useKnown is set when it shows whether the caller keeps the
+	// flow for many requests, and kept when the flow is counted as such;
+	// runningAsKept is set while a request of it counts as one of a kept flow.
+	requests                      int
+	answeredAt                    time.Time
+	useKnown, kept, runningAsKept bool
 	// responseBytes is the size of the answer to the current request so far.
 	responseBytes int
 	// priority is the priority of the flow's route; 0 is the most urgent.
--- a/internal/cropaque/forwarding.go
+++ b/internal/cropaque/forwarding.go
@@ -39,6 +39,7 @@
 	}
 	if p.Size > 0 && !f.ended && f.slot != slotRunning {
 		f.requestAt, f.responseBytes = now, 0
+		f.requests++
 		g.setSlot(f, slotRunning)
 	}
 	if p.Reset {
@@ -71,6 +72,7 @@
 // HandleServerPacket processes a packet of the backend server.
 func (g *Gate) HandleServerPacket(now time.Time, p Packet, data []byte) {
 	g.serverSeenAt = now
+	g.lasting.observe(now, g.busy())
 	if !g.silentSince.IsZero() {
 		g.LogDecision(Decision{Event: "backend server answers again", Age: now.Sub(g.silentSince)})
 		g.silentSince = time.Time{}
@@ -81,6 +83,10 @@
 	}
 	key := p.KeyFromServer()
 	f := g.flows[key]
+	if _, givenBack := g.givenBack[key]; f == nil && givenBack && p.Open {
+		g.LogDecision(Decision{Event: "late answer of the backend server to a flow that was given back", Key: key})
+		return
+	}
 	if f == nil {
 		f = &agentFlow{key: key, arrivedAt: now, opened: true}
 		g.addFlow(f)
@@ -105,6 +111,8 @@
 		f.sentBytes = sent
 	}
 	switch {
+	case p.Open && p.Ack && f.handshakeAnswered && f.serverISN == p.Seq:
+		// The answer to a copy of the opening packet.
 	case p.Open && p.Ack:
 		f.serverISN, f.sentBytes, f.handshakeAnswered = p.Seq, 0, true
 	case p.Reset:
@@ -116,6 +124,9 @@
 	case p.End || p.Size > 0 && p.Size < fullPacketBytes:
 		// A packet below the full size ends the answer.
 		if f.slot == slotRunning {
+			if f.answeredAt.IsZero() {
+				f.answeredAt = now
+			}
 			// The duration of an error is not representative of a request's
 			// latency.
 			if duration := now.Sub(f.requestAt); g.health.recordAnswer(f.key.Service, f.responseBytes, duration) {
@@ -133,7 +144,7 @@
 }
 
 // handleReturned handles a packet that the backend server returned. The flow of
-// an opening packet is refused. A later packet of a flow that was open here
+// an opening packet is given back. A later packet of a flow that was open here
 // proves that the backend server has lost the flow.
 func (g *Gate) handleReturned(now time.Time, p Packet, data []byte) {
 	key := p.KeyFromCaller()
@@ -142,9 +153,11 @@
 		return
 	}
 	switch {
+	case p.Open && f.handshakeAnswered:
+		// The backend server has accepted another copy.
+		return
 	case p.Open:
-		g.removeFlow(f)
-		g.refuse(now, f.balancer, key, ReasonFull)
+		g.giveBack(now, f, ReasonFull)
 	case f.handshakeAnswered && f.opened:
 		g.removeFlow(f)
 		if f.ended {
--- a/internal/cropaque/gate.go
+++ b/internal/cropaque/gate.go
@@ -1,6 +1,7 @@
 package cropaque
 
 import (
+	"maps"
 	"net/netip"
 	"time"
 
@@ -69,8 +70,10 @@
 	server        Server
 	serverPresent bool
 	// withdrawnMS is the start of the last backend server that has left, 0 for none.
-	withdrawnMS  int64
-	draining     bool
+	withdrawnMS int64
+	draining    bool
+	// leaving is set from the withdrawal of the backend server until it has ended.
+	leaving      bool
 	serverSeenAt time.Time
 	announcedAt  time.Time
 	coldUntil    time.Time
@@ -80,11 +83,15 @@
 	flows       map[Key]*agentFlow
 	queue       waitQueue
 	hints       hints
+	// givenBack holds when flows were given back whose opening packet the backend
+	// server got.
+	givenBack map[Key]time.Time
 	// reserved counts the flows with a slot reserved for a request that hasn't
 	// arrived, running those with a request in progress.
 	reserved, running int
 	meanLatency       time.Duration
 	health            health
+	lasting           lastingLoad
 	// meanHandshake is the average time from the opening packet to the
 	// caller's acknowledgement.
 	meanHandshake time.Duration
@@ -169,15 +176,21 @@
 
 // load returns the load that is reported to balancers.
 func (g *Gate) load(now time.Time) Load {
-	return Load{
+	load := Load{
 		Busy: g.reserved + g.running, Queued: g.queue.countOnTime(g.expectedCompletion(now)), Slots: g.server.Slots,
 		MeanLatency: g.meanLatency, FailurePermille: g.health.failurePermille(),
 	}
+	g.lasting.report(&load)
+	return load
 }
 
+// busy returns the number of requests in progress or queued.
+func (g *Gate) busy() int { return g.reserved + g.running + len(g.queue) }
+
 // HandleFrame processes a frame of a balancer; p is the packet decoded from
 // its data.
 func (g *Gate) HandleFrame(now time.Time, from netip.AddrPort, f *Frame, p Packet) {
+	g.lasting.observe(now, g.busy())
 	switch f.Kind {
 	case FrameOffer:
 		g.handleOffer(now, from, f, p)
@@ -195,6 +208,7 @@
 // Tick handles expired timeouts. Call it every few milliseconds while flows
 // are waiting.
 func (g *Gate) Tick(now time.Time) {
+	g.lasting.observe(now, g.busy())
 	g.checkHandshakes(now)
 	g.releaseReservations(now)
 	if now.Sub(g.sweptAt) >= sweepInterval {
@@ -224,11 +238,13 @@
 			g.setSlot(f, slotNone)
 		}
 	}
+	maps.DeleteFunc(g.givenBack, func(_ Key, at time.Time) bool { return now.Sub(at) > givenBackRetention })
 	g.health.decay()
+	g.lasting.sweep(now, g.flows)
 	g.hints.expire(now)
 	g.sendHints()
 	g.queue.retain(func(f *agentFlow) bool { return g.flows[f.key] == f })
-	if !g.silentSince.IsZero() && now.Sub(g.silentSince) > sweepInterval {
+	if g.leaving || !g.silentSince.IsZero() && now.Sub(g.silentSince) > sweepInterval {
 		g.ProbeServer()
 	}
 }
--- a/internal/cropaque/steering.go
+++ b/internal/cropaque/steering.go
@@ -55,13 +55,23 @@
 	// ObservePlacement records the time from a flow's first packet until an
 	// agent has taken it. It may be nil.
 	ObservePlacement func(d time.Duration)
+	// EvenLoad spreads flows for even load among agents that report flows which
+	// callers keep open for many requests.
+	EvenLoad bool
+	// ObserveChoice records how an agent was chosen and the age of its report. It
+	// may be nil.
+	ObserveChoice func(kind ChoiceKind, reportAge time.Duration)
 
 	view   *crwire.View
 	routes routes
 	peers  map[netip.AddrPort]*peer
 	// members are the agents of each service, also those that get no new flows.
 	members map[string]*serviceMembers
-	flows   map[Key]*balancerFlow
+	// formerMembers are the agents that other balancers with an older view place
+	// flows on, or did until recently: without those that have just joined, and with
+	// those that have just left.
+	formerMembers map[string]*serviceMembers
+	flows         map[Key]*balancerFlow
 	// awaitingView are new flows that arrived before the first view, oldest
 	// first.
 	awaitingView []*balancerFlow
@@ -72,10 +82,15 @@
 	answers answerTime
 	// control limits the frames for lookups and pings.
 	control budget
+	// keptEvidence is how sure it is that callers keep the flows of a route.
+	keptEvidence map[netip.AddrPort]int
 	// nextTickAt is when Tick should run next. inGrace is set when the last call
 	// was late and handled no timers.
 	nextTickAt time.Time
 	inGrace    bool
+	// lateBy is how late the loop was at lateAt.
+	lateBy time.Duration
+	lateAt time.Time
 	// uplink shares the link between uploads; nil without an upload route or a known
 	// link.
 	uplink *uplink
@@ -88,6 +103,7 @@
 func (s *Steering) Init() {
 	s.peers = map[netip.AddrPort]*peer{}
 	s.flows = map[Key]*balancerFlow{}
+	s.keptEvidence = map[netip.AddrPort]int{}
 	s.control.perSecond = s.ControlFrames
 	s.view = &crwire.View{}
 	s.initUplink()
@@ -97,7 +113,7 @@
 func (s *Steering) SetView(now time.Time, v *crwire.View) {
 	s.view, s.routes = v, newRoutes(v)
 	s.setUplink()
-	s.members = map[string]*serviceMembers{}
+	s.members, s.formerMembers = map[string]*serviceMembers{}, map[string]*serviceMembers{}
 	zonesOut := map[string]bool{}
 	for _, z := range v.ZonesOut {
 		zonesOut[z] = true
@@ -113,30 +129,40 @@
 		p := s.peers[addr]
 		if p == nil || p.member.Service != m.Service || p.member.Name != m.Name {
 			p = &peer{addr: addr, lastFrameAt: now}
+			if len(s.peers) > 0 {
+				p.joinedAt = now
+			}
 			s.LogDecision(Decision{Event: "agent of " + m.Service + " joins", Agent: addr, Revision: v.Revision})
 		}
 		p.member, p.removed = m, false
 		p.takesFlows = m.State == crwire.MemberActive && !zonesOut[m.Zone]
 		peers[addr] = p
-		if s.members[m.Service] == nil {
-			s.members[m.Service] = &serviceMembers{}
+		addMember(s.members, p)
+		if now.Sub(p.joinedAt) >= joinSettleTime {
+			addMember(s.formerMembers, p)
 		}
-		s.members[m.Service].add(p)
 	}
+	s.keepFormerPeers(now, peers)
+	s.peers = peers
+	s.placeAwaitingView(now)
+}
+
+// keepFormerPeers adds the agents that are no members any more to the peers of a newer
+// view for a while: their flows may still be alive.
+func (s *Steering) keepFormerPeers(now time.Time, peers map[netip.AddrPort]*peer) {
 	for addr, p := range s.peers {
 		if peers[addr] == p {
 			continue
 		}
 		if !p.removed {
-			s.LogDecision(Decision{Event: "agent of " + p.member.Service + " is no member any more", Agent: addr, Revision: v.Revision})
+			s.LogDecision(Decision{Event: "agent of " + p.member.Service + " is no member any more", Agent: addr, Revision: s.view.Revision})
 		}
 		p.removed, p.takesFlows = true, false
 		if peers[addr] == nil && now.Sub(p.lastFrameAt) < flowRetention {
 			peers[addr] = p
+			addMember(s.formerMembers, p)
 		}
 	}
-	s.peers = peers
-	s.placeAwaitingView(now)
 }
 
 // Ready reports whether new flows can be placed.
@@ -144,6 +170,7 @@
 
 // HandlePacket processes a packet of a caller.
 func (s *Steering) HandlePacket(now time.Time, p Packet, data []byte) {
+	s.noteLoopDelay(now)
 	s.advanceUplink(now)
 	key := p.KeyFromCaller()
 	f := s.flows[key]
@@ -159,7 +186,7 @@
 	case p.Open && f == nil:
 		s.startFlow(now, p, data)
 	case p.Open:
-		s.handleDuplicateOpen(now, f, data)
+		s.handleDuplicateOpen(now, f, p, data)
 	case f == nil:
 		f = &balancerFlow{key: key, arrivedAt: now, lastPacketAt: now}
 		s.addFlow(f)
@@ -203,6 +230,8 @@
 		s.lookUpOwner(now, f, data)
 	case phaseLookup:
 		f.keepPending(data)
+	case phaseRejected:
+		s.lookUpOwner(now, f, data)
 	case phaseUnowned:
 		if f.timerAt.IsZero() {
 			s.lookUpOwner(now, f, data)
@@ -234,10 +263,11 @@
 	f := s.flows[fr.Key]
 	switch {
 	case fr.Kind == FrameRefused:
-		s.handleRefused(now, p, f, fr.Reason)
+		s.handleRefused(now, p, f, fr)
 	case f == nil:
 	case fr.Kind == FrameTaken:
-		s.handleTaken(now, p, f)
+		s.learnUse(fr.Key.Service, fr.KeptRoute)
+		s.handleTaken(now, p, f, fr.Number)
 	case fr.Kind == FrameOwn:
 		s.handleOwn(now, p, f)
 	case fr.Kind == FrameMaybe, fr.Kind == FrameForeign:
@@ -259,6 +289,7 @@
 // When Tick runs late, answers may wait in the socket that arrived in time. It then
 // gives them a moment to be handled before it takes agents for silent.
 func (s *Steering) Tick(now time.Time) {
+	s.noteLoopDelay(now)
 	s.runUplink(now)
 	if !s.inGrace && !s.nextTickAt.IsZero() && now.Sub(s.nextTickAt) >= lateTick {
 		s.inGrace, s.nextTickAt = true, now.Add(lateTickGrace)
@@ -285,8 +316,7 @@
 	case phaseOpening:
 		route := s.routes[f.key.Service]
 		if route == nil {
-			delete(s.flows, f.key)
-			s.ResetFlow(f.key, 0)
+			s.reject(now, f, Decision{Event: "caller is reset: its route was removed"})
 			return
 		}
 		if p := f.owner; p != nil {
@@ -316,7 +346,8 @@
 		s.uplink.turns.Sweep(now)
 	}
 	for key, f := range s.flows {
-		if now.Sub(f.lastPacketAt) > flowRetention {
+		idle := now.Sub(f.lastPacketAt)
+		if idle > flowRetention || f.phase == phaseRejected && idle > rejectionRetention {
 			delete(s.flows, key)
 		}
 	}
--- a/internal/cropaque/uplink.go
+++ b/internal/cropaque/uplink.go
@@ -155,16 +155,11 @@
 // refuseUpload resets the caller of an upload that was never opened. It is placed
 // instead if a copy of its opening packet may have opened it by way of another balancer.
 func (s *Steering) refuseUpload(now time.Time, f *balancerFlow, route *crdoc.Route) {
-	if !f.sawAllCopies(now) {
+	if !f.sawAllCopies(now, s.ownDelay(now)) {
 		s.place(now, f, route)
 		return
 	}
-	s.LogDecision(Decision{
-		Event: "caller is reset: the link can't carry the upload in time", Key: f.key, Age: now.Sub(f.arrivedAt), Load: s.turnLoad(),
-		Revision: s.view.Revision,
-	})
-	delete(s.flows, f.key)
-	s.ResetFlow(f.key, 0)
+	s.reject(now, f, Decision{Event: "caller is reset: the link can't carry the upload in time", Load: s.turnLoad()})
 }
 
 // turnLoad returns the uploads with a turn and those that wait for one.
--- a/internal/cropaqueio/balancer.go
+++ b/internal/cropaqueio/balancer.go
@@ -46,6 +46,9 @@
 	// LinkBytes is what the instance's link carries in a second, in bytes; 0 means
 	// unknown.
 	LinkBytes float64
+	// EvenLoad spreads new flows for even load among agents that report flows which
+	// callers keep open for many requests.
+	EvenLoad bool
 	// DrainTime is how long a stopping balancer keeps forwarding. The fabric
 	// must have moved the callers' packets to other balancers by then.
 	DrainTime time.Duration
@@ -64,6 +67,7 @@
 	datagramCount *prometheus.CounterVec
 	placementWait prometheus.Histogram
 	uplink        uplinkMetrics
+	choices       *choiceMetrics
 
 	mu       sync.Mutex
 	steering *cropaque.Steering
@@ -112,11 +116,13 @@
 	if b.LinkBytes > 0 {
 		b.registerUplinkMetrics()
 	}
+	b.choices = newChoiceMetrics(b.Registry)
 	b.wake = make(chan struct{}, 1)
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.steering = &cropaque.Steering{
 		Zone: b.Zone, ControlFrames: b.ControlFrames, Send: b.send, ResetFlow: b.resetFlow, Random: rand.Float64, ViewFresh: func() bool { return b.viewFresh }, LogDecision: b.decisions.record,
+		EvenLoad: b.EvenLoad, ObserveChoice: b.choices.observe,
 		ObservePlacement: func(d time.Duration) { b.placementWait.Observe(d.Seconds()) },
 		LinkBytes:        b.LinkBytes, ObserveTurnWait: b.observeTurnWait, ObserveUplinkWait: b.observeUplinkWait,
 	}
