--- a/internal/cropaque/agentflow.go
+++ b/internal/cropaque/agentflow.go
@@ -79,6 +79,18 @@
 	return !f.opened && !f.unverified
 }
 
+// recordSequence updates a flow from the numbers of a packet of its backend server. The
+// answer to another copy of the opening packet changes nothing.
+func (f *agentFlow) recordSequence(p Packet) {
+	if p.Open && p.Ack && (!f.handshakeAnswered || f.serverISN != p.Seq) {
+		f.serverISN, f.sentBytes, f.handshakeAnswered = p.Seq, 0, true
+		return
+	}
+	if sent := p.Seq + uint32(p.Size) - f.serverISN; f.handshakeAnswered && int32(sent-f.sentBytes) > 0 {
+		f.sentBytes = sent
+	}
+}
+
 // addFlow stores a flow. A former flow of the same caller port gives its slot
 // back: its caller no longer waits for the answer. At the limit an ended flow
 // is evicted.
--- a/internal/cropaque/forwarding.go
+++ b/internal/cropaque/forwarding.go
@@ -107,14 +107,8 @@
 	f.opened = f.opened || f.unverified && !p.Open && !p.Reset
 	f.lastPacketAt, f.unverified = now, false
 	f.responseBytes += p.Size
-	if sent := p.Seq + uint32(p.Size) - f.serverISN; f.handshakeAnswered && int32(sent-f.sentBytes) > 0 {
-		f.sentBytes = sent
-	}
+	f.recordSequence(p)
 	switch {
-	case p.Open && p.Ack && f.handshakeAnswered && f.serverISN == p.Seq:
-		// The answer to a copy of the opening packet.
-	case p.Open && p.Ack:
-		f.serverISN, f.sentBytes, f.handshakeAnswered = p.Seq, 0, true
 	case p.Reset:
 		if f.slot == slotRunning && !f.ended {
 			g.health.recordFailure()
