cropaque: the former rule while all callers return; even load on unequal servers

Cause: in the second after a loss of everything agents are full, and what they refuse tells more than their reports.

Change: balancers choose for even load once no more than half of the reported kept flows were opened in the last second. Measured load of kept flows counts as much as their number.

--- a/internal/cropaque/choice.go
+++ b/internal/cropaque/choice.go
@@ -27,6 +27,10 @@
 // started don't know it.
 const maxKeptEvidence = 8
 
+// maxOpenedShare is the share of kept flows that were opened in the last second up to
+// which reports of kept flows are taken for lasting.
+const maxOpenedShare = 0.5
+
 // Weighed is an agent that may take a flow, with how it was weighed.
 type Weighed struct {
 	Agent     netip.AddrPort
@@ -48,18 +52,20 @@
 }
 
 // spreadsEvenly reports whether agents are chosen for even load: when it is asked for
-// and one of them reports flows that callers keep. Without such flows the load of an
-// agent changes with each placement, and the fastest one is chosen.
+// and they report flows that callers keep. Without such flows the load of an agent
+// changes with each placement, and the fastest one is chosen. So it is while most kept
+// flows have just been opened, as after a loss of everything: agents are then full, and
+// their refusals tell more than reports.
 func (s *Steering) spreadsEvenly(peers []*peer) bool {
 	if !s.EvenLoad {
 		return false
 	}
+	kept, opened := 0, 0
 	for _, p := range peers {
-		if p.load.Kept > 0 {
-			return true
-		}
+		kept += p.load.Kept
+		opened += p.load.KeptRate
 	}
-	return false
+	return kept > 0 && float64(opened) <= maxOpenedShare*float64(kept)
 }
 
 // weigh returns how the agents of a list are weighed for a flow. It changes nothing.
--- a/internal/cropaque/choice_test.go
+++ b/internal/cropaque/choice_test.go
@@ -124,6 +124,56 @@
 	}
 }
 
+// unequalServers gives the backend servers speeds of 0.6, 1 and 1.6 and 2 to 5 slots.
+func (sim *simulation) unequalServers() {
+	for i := range sim.size.agents {
+		s := sim.agents[machineAddr(1, i)].server
+		s.requestDuration = time.Duration(float64(s.requestDuration) / []float64{0.6, 1, 1.6}[i/3%3])
+		s.slots = 2 + i/9%4
+	}
+	sim.announce()
+}
+
+// keptLoadSpread returns the deviation between backend servers of the load that their
+// kept flows bring, as a share of its average.
+func (sim *simulation) keptLoadSpread() float64 {
+	var sum, squares float64
+	for _, a := range sim.agents {
+		load := float64(a.gate.OpenFlows()) * a.server.requestDuration.Seconds() / float64(a.server.slots)
+		sum, squares = sum+load, squares+load*load
+	}
+	mean := sum / float64(len(sim.agents))
+	return math.Sqrt(squares/float64(len(sim.agents))-mean*mean) / mean
+}
+
+// TestKeptFlowsOnUnequalServers checks that flows that callers open within three
+// seconds and keep load unequal servers at most half as unevenly for even load as by
+// expected latency, and that no fewer requests are in time.
+func TestKeptFlowsOnUnequalServers(t *testing.T) {
+	const seeds, keptFlows, singleRate, openingTime = 5, 2000, 900, 3 * time.Second
+	var spread, inTime [2]float64
+	for seed := range uint64(seeds) {
+		for i, evenLoad := range []bool{false, true} {
+			sim := newPlanning(seed, evenLoad)
+			sim.unequalServers()
+			sim.addLoad(singleRate, keptTime, true)
+			for range keptFlows {
+				sim.after(time.Duration(sim.rnd.Float64()*float64(openingTime)), sim.openKept)
+			}
+			sim.run(keptTime)
+			spread[i] += sim.keptLoadSpread() / seeds
+			inTime[i] += sim.answeredShare(openingTime, keptTime-time.Second, sim.size.target) / seeds
+		}
+	}
+	t.Logf("deviation of kept load %.3f, by expected latency %.3f; in time %.4f and %.4f", spread[1], spread[0], inTime[1], inTime[0])
+	if spread[1] > spread[0]/2 {
+		t.Errorf("deviation of kept load %.3f, want at most half of %.3f", spread[1], spread[0])
+	}
+	if inTime[1] < inTime[0] {
+		t.Errorf("in time %.4f, want at least %.4f", inTime[1], inTime[0])
+	}
+}
+
 // TestEvenLoadNeedsKeptFlows checks that no agent reports kept flows while each flow
 // carries one request, also beside a loss of power and of datagrams.
 func TestEvenLoadNeedsKeptFlows(t *testing.T) {
--- a/internal/crspread/spread.go
+++ b/internal/crspread/spread.go
@@ -25,7 +25,7 @@
 	defaultLatency, defaultSlots = 40 * time.Millisecond, 2
 	// measuredShare is the weight of the measured load of kept flows. The rest is
 	// that of their number, which a few seconds of requests don't blur.
-	measuredShare = 0.25
+	measuredShare = 0.5
 	// minFlowLoad is the least load of a kept flow in slots, so that the first ones
 	// are spread before any has sent much.
 	minFlowLoad = 0.02
