--- a/internal/cropaque/gate.go
+++ b/internal/cropaque/gate.go
@@ -178,6 +178,9 @@
 	return load
 }
 
+// Load returns the load that is reported to balancers.
+func (g *Gate) Load(now time.Time) Load { return g.load(now) }
+
 // busy returns the number of requests in progress or queued.
 func (g *Gate) busy() int { return g.reserved + g.running + len(g.queue) }
 
--- a/internal/cropaqueio/agent.go
+++ b/internal/cropaqueio/agent.go
@@ -118,12 +118,20 @@
 		ClearReturned: a.Codec.ClearReturned, ProbeServer: a.startProbe, LogDecision: a.decisions.record,
 	}
 	a.gate.Init()
+	registerLoadMetrics(a.Registry, a.load)
 	if err := a.frameSocket.Start(); err != nil {
 		return err
 	}
 	return a.outboundSocket.Start()
 }
 
+// load returns the load that the agent reports.
+func (a *Agent) load() cropaque.Load {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.gate.Load(time.Now())
+}
+
 // Serving returns nil if the agent can serve, and the reason as an error
 // otherwise.
 func (a *Agent) Serving() error {
