--- a/internal/cropaque/admission.go
+++ b/internal/cropaque/admission.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 
 	"cardamomring.dev/pkg/crdoc"
@@ -13,33 +14,38 @@
 	queueWaitShare = 0.5
 	// callerOpenTimeout is how long a caller waits for its flow to open.
 	callerOpenTimeout = 1400 * time.Millisecond
+	// givenBackRetention covers the time in which a caller may still open a flow
+	// that was given back.
+	givenBackRetention = 2 * time.Second
 )
 
 // handleOffer takes, queues or refuses a new flow.
 func (g *Gate) handleOffer(now time.Time, from netip.AddrPort, f *Frame, p Packet) {
 	key := p.KeyFromCaller()
 	if existing := g.flows[key]; existing != nil && existing.callerISN == p.Seq {
-		g.handleDuplicateOpen(now, from, existing, f.Data)
+		g.handleDuplicateOpen(now, from, existing, f)
 		return
 	}
 	route := g.routes[key.Service]
 	if reason := g.refusal(now, route); reason != ReasonNone {
-		g.refuse(now, from, key, reason)
+		g.refuse(now, offerFrom{from, f.Number}, key, reason)
 		return
 	}
 	newFlow := &agentFlow{
-		key: key, balancer: from, callerISN: p.Seq, priority: route.Priority, target: route.Target.D(),
+		key: key, balancer: from, offer: offerFrom{from, f.Number}, callerISN: p.Seq, priority: route.Priority, target: route.Target.D(),
 		timeout: route.Timeout.D(), arrivedAt: now.Add(-f.Age), lastPacketAt: now,
 	}
+	g.shares.add(now, key, 0)
 	if !g.hasFreeSlot() && (!f.MayQueue || !g.mayQueue(now, newFlow)) {
-		g.refuse(now, from, key, ReasonFull)
+		g.refuseFull(now, newFlow)
 		return
 	}
+	delete(g.givenBack, key)
 	g.addFlow(newFlow)
 	if g.lasting.keeps(key.Service) {
 		g.lasting.markKept(newFlow)
 	}
-	g.Reply(from, &Frame{Kind: FrameTaken, Key: key, Load: g.load(now), KeptRoute: g.lasting.keeps(key.Service)})
+	g.Reply(from, &Frame{Kind: FrameTaken, Key: key, Number: f.Number, Load: g.load(now), KeptRoute: g.lasting.keeps(key.Service)})
 	if g.hasFreeSlot() {
 		g.sendOpen(now, newFlow, f.Data)
 		return
@@ -47,16 +53,17 @@
 	newFlow.openPacket = append([]byte(nil), f.Data...)
 	g.queue.push(newFlow)
 	g.LogDecision(Decision{Event: "flow waits for a slot", Key: key, Load: g.load(now), Revision: g.view.Revision})
+	g.refuseDisplaced(now, newFlow)
 }
 
 // handleDuplicateOpen handles a copy of an opening packet whose flow was taken
 // before.
-func (g *Gate) handleDuplicateOpen(now time.Time, from netip.AddrPort, f *agentFlow, data []byte) {
-	f.balancer, f.lastPacketAt = from, now
+func (g *Gate) handleDuplicateOpen(now time.Time, from netip.AddrPort, f *agentFlow, fr *Frame) {
+	f.balancer, f.offer, f.lastPacketAt = from, offerFrom{from, fr.Number}, now
 	if f.openPacket == nil {
-		g.ToServer(data)
+		g.ToServer(fr.Data)
 	}
-	g.Reply(from, &Frame{Kind: FrameTaken, Key: f.key, Load: g.load(now)})
+	g.Reply(from, &Frame{Kind: FrameTaken, Key: f.key, Number: fr.Number, Load: g.load(now)})
 }
 
 // refusal returns why no new flow can be taken now, even with free slots, or
@@ -97,9 +104,10 @@
 // left. The rest of that time is for its own request and for later flows that
 // go ahead of it.
 func (g *Gate) mayQueue(now time.Time, f *agentFlow) bool {
+	g.rankByShare(now, append(slices.Clone(g.queue), f))
 	ahead := g.queue.countAhead(f, g.expectedCompletion(now))
 	wait := g.meanLatency * time.Duration(ahead+1) / time.Duration(max(1, g.server.Slots))
-	return float64(wait) <= queueWaitShare*float64(f.timeout-now.Sub(f.arrivedAt))
+	return float64(wait) <= queueWaitShare*float64(f.timeout-now.Sub(f.arrivedAt)) || g.routeMayQueue(now, f)
 }
 
 // expectedCompletion returns when a request that begins now is answered if it
@@ -108,10 +116,37 @@
 	return now.Add(time.Duration(slowRequestFactor * float64(g.meanLatency)))
 }
 
+// refuseFull refuses a flow that finds no free slot.
+func (g *Gate) refuseFull(now time.Time, f *agentFlow) {
+	if f.excess > 0 {
+		g.refuseOverShare(now, f)
+		return
+	}
+	g.refuse(now, f.offer, f.key, ReasonFull)
+}
+
 // refuse refuses a flow and sends the reason to its balancer.
-func (g *Gate) refuse(now time.Time, to netip.AddrPort, key Key, reason Reason) {
+func (g *Gate) refuse(now time.Time, to offerFrom, key Key, reason Reason) {
 	g.LogDecision(Decision{Event: "flow is refused", Key: key, Reason: reason, Load: g.load(now), Revision: g.view.Revision, Routine: true})
-	g.Reply(to, &Frame{Kind: FrameRefused, Key: key, Reason: reason, Load: g.load(now)})
+	if !to.balancer.IsValid() {
+		// No balancer has offered it to this agent.
+		return
+	}
+	g.Reply(to.balancer, &Frame{Kind: FrameRefused, Key: key, Number: to.number, Reason: reason, Load: g.load(now)})
+}
+
+// giveBack refuses a flow whose opening packet the backend server got. If the backend
+// server accepts it after all, its answer isn't forwarded: the balancer has reset the
+// caller, or has offered the flow to another agent.
+func (g *Gate) giveBack(now time.Time, f *agentFlow, reason Reason) {
+	g.removeFlow(f)
+	if g.givenBack == nil {
+		g.givenBack = map[Key]time.Time{}
+	}
+	if len(g.givenBack) < maxAgentFlows {
+		g.givenBack[f.key] = now
+	}
+	g.refuse(now, f.offer, f.key, reason)
 }
 
 // sendOpen sends the opening packet to the backend server and reserves a slot.
@@ -122,6 +157,7 @@
 	g.recentOpens = append(g.recentOpens, now)
 	g.unanswered = append(g.unanswered, f)
 	g.reservations = append(g.reservations, f)
+	g.reserveWork(now, f)
 	g.ToServer(data)
 }
 
@@ -129,6 +165,7 @@
 // slots.
 func (g *Gate) dispatchQueued(now time.Time) {
 	for len(g.queue) > 0 && g.hasFreeSlot() {
+		g.rankByShare(now, g.queue)
 		f := g.queue.pop(g.expectedCompletion(now), g.meanLatency/time.Duration(max(1, g.server.Slots)))
 		if g.flows[f.key] != f {
 			continue
@@ -139,7 +176,7 @@
 		}
 		if reason := g.refusal(now, g.routes[f.key.Service]); reason != ReasonNone {
 			g.removeFlow(f)
-			g.refuse(now, f.balancer, f.key, reason)
+			g.refuse(now, f.offer, f.key, reason)
 			continue
 		}
 		g.sendOpen(now, f, f.openPacket)
@@ -152,5 +189,5 @@
 func (g *Gate) expire(now time.Time, f *agentFlow) {
 	g.LogDecision(Decision{Event: "flow has waited for too long", Key: f.key, Age: now.Sub(f.arrivedAt), Load: g.load(now)})
 	g.removeFlow(f)
-	g.refuse(now, f.balancer, f.key, ReasonFull)
+	g.refuse(now, f.offer, f.key, ReasonFull)
 }
--- a/internal/cropaque/agentflow.go
+++ b/internal/cropaque/agentflow.go
@@ -14,11 +14,19 @@
 	ackSlack = 2
 )
 
+// offerFrom identifies an offer: the balancer that sent it and its number there.
+type offerFrom struct {
+	balancer netip.AddrPort
+	number   uint64
+}
+
 // agentFlow is the state of a flow on an agent.
 type agentFlow struct {
 	key Key
 	// balancer is the balancer that sent the latest packet of the flow.
 	balancer netip.AddrPort
+	// offer is the latest offer of the flow. A refusal answers it.
+	offer offerFrom
 	// callerISN and serverISN are the initial sequence numbers of both ends.
 	callerISN, serverISN uint32
 	// sentBytes is how many bytes the backend server has sent since serverISN.
@@ -53,6 +61,12 @@
 	// hintsSent counts the hints that were sent for the flow after the view whose
 	// growth of members has the number hintsFor.
 	hintsSent, hintsFor int
+	// countedWork is the work that was counted for the current request in advance.
+	countedWork time.Duration
+	// excess is how much work the account of a queued flow got beyond its share,
+	// and starved is set while the flow's route gets less than its minimum.
+	excess  time.Duration
+	starved bool
 	// openPacket is the opening packet of a queued flow, nil for other flows.
 	openPacket []byte
 	// arrivedAt is the time of the caller's first packet, sentToServerAt when
--- a/internal/cropaque/frame.go
+++ b/internal/cropaque/frame.go
@@ -29,6 +29,7 @@
 	fieldKeptBusy
 	fieldKeptRate
 	fieldKeptRoute
+	fieldNumber
 )
 
 // maxReported bounds the numbers of a report that choices compute with.
@@ -53,6 +54,7 @@
 	b = appendNumber(b, fieldFailurePermille, uint64(f.Load.FailurePermille))
 	b = appendNumber(b, fieldAge, uint64(f.Age/time.Microsecond))
 	b = appendAddr(b, fieldOwner, f.Owner)
+	b = appendNumber(b, fieldNumber, f.Number)
 	b = appendNumber(b, fieldKept, uint64(f.Load.Kept))
 	b = appendNumber(b, fieldLastingBusy, uint64(f.Load.LastingBusy))
 	b = appendNumber(b, fieldKeptBusy, uint64(f.Load.KeptBusy))
@@ -122,6 +124,8 @@
 		f.Load.FailurePermille = int(v)
 	case fieldAge:
 		f.Age = time.Duration(v) * time.Microsecond
+	case fieldNumber:
+		f.Number = v
 	case fieldKept:
 		f.Load.Kept = int(min(v, maxReported))
 	case fieldLastingBusy:
--- a/internal/cropaque/gate.go
+++ b/internal/cropaque/gate.go
@@ -1,6 +1,7 @@
 package cropaque
 
 import (
+	"maps"
 	"net/netip"
 	"time"
 
@@ -42,6 +43,10 @@
 	ColdExtra  int
 	// StartedAt is when the agent started.
 	StartedAt time.Time
+	// ShareWindow is the time over which the work of client accounts and routes is
+	// compared when flows wait for a slot; 0 means that flows wait without regard
+	// to it.
+	ShareWindow time.Duration
 	// ToServer sends a packet to the backend server.
 	ToServer func(data []byte)
 	// ToCaller sends a packet to the caller of a flow.
@@ -69,8 +74,10 @@
 	server        Server
 	serverPresent bool
 	// withdrawnMS is the start of the last backend server that has left, 0 for none.
-	withdrawnMS  int64
-	draining     bool
+	withdrawnMS int64
+	draining    bool
+	// leaving is set from the withdrawal of the backend server until it has ended.
+	leaving      bool
 	serverSeenAt time.Time
 	announcedAt  time.Time
 	coldUntil    time.Time
@@ -80,6 +87,10 @@
 	flows       map[Key]*agentFlow
 	queue       waitQueue
 	hints       hints
+	// givenBack holds when flows were given back whose opening packet the backend
+	// server got.
+	givenBack map[Key]time.Time
+	shares    *shares
 	// reserved counts the flows with a slot reserved for a request that hasn't
 	// arrived, running those with a request in progress.
 	reserved, running int
@@ -104,6 +115,7 @@
 func (g *Gate) Init() {
 	g.flows = map[Key]*agentFlow{}
 	g.meanLatency, g.meanHandshake = defaultLatency, defaultHandshake
+	g.shares = newShares(g.ShareWindow)
 	g.view = &crwire.View{}
 }
 
@@ -198,7 +210,7 @@
 	case FrameHint:
 		g.hints.store(now, f.Key, from)
 	case FramePing:
-		g.Reply(from, &Frame{Kind: FramePong, Load: g.load(now)})
+		g.Reply(from, &Frame{Kind: FramePong, Number: f.Number, Load: g.load(now)})
 	}
 }
 
@@ -235,12 +247,13 @@
 			g.setSlot(f, slotNone)
 		}
 	}
+	maps.DeleteFunc(g.givenBack, func(_ Key, at time.Time) bool { return now.Sub(at) > givenBackRetention })
 	g.health.decay()
 	g.lasting.sweep(now, g.flows)
 	g.hints.expire(now)
 	g.sendHints()
 	g.queue.retain(func(f *agentFlow) bool { return g.flows[f.key] == f })
-	if !g.silentSince.IsZero() && now.Sub(g.silentSince) > sweepInterval {
+	if g.leaving || !g.silentSince.IsZero() && now.Sub(g.silentSince) > sweepInterval {
 		g.ProbeServer()
 	}
 }
--- a/internal/cropaque/link_test.go
+++ b/internal/cropaque/link_test.go
@@ -10,14 +10,17 @@
 	// headerBytes is the size of the headers of a datagram below its data, and
 	// packetHeadBytes the head of a flow's packet in the data.
 	headerBytes, packetHeadBytes = 28, 32
-	// maxQueueTime is how much work may wait at a bottleneck. Datagrams beyond it
-	// are lost, as in the buffer of a socket or a link.
-	maxQueueTime = time.Second
+	// defaultMaxQueue is how much work may wait at a bottleneck unless the
+	// deployment says otherwise.
+	defaultMaxQueue = time.Second
 )
 
 // bottleneck carries one datagram at a time, in order of arrival.
 type bottleneck struct {
 	freeAt time.Time
+	// maxQueue is how much work may wait. Datagrams beyond it are lost, as in the
+	// buffer of a socket or a link.
+	maxQueue time.Duration
 }
 
 // pass returns after which time a datagram that arrives now has passed, and
@@ -26,7 +29,7 @@
 	if l.freeAt.Before(now) {
 		l.freeAt = now
 	}
-	if l.freeAt.Sub(now) > maxQueueTime {
+	if l.freeAt.Sub(now) > l.maxQueue {
 		return 0, false
 	}
 	l.freeAt = l.freeAt.Add(cost)
@@ -69,8 +72,22 @@
 	b.frameBytes[f.Kind] += b.sim.frameSize(f)
 }
 
-// pollReadiness is the fabric's check of the balancer.
-func (b *balancer) pollReadiness() { b.inRotation = !b.down && b.steering.Ready() }
+// readinessBytes is the size of a check of a balancer's readiness, or of its answer, on
+// the link.
+const readinessBytes = 150
+
+// pollReadiness is the fabric's check of the balancer. It is lost in a full queue. After
+// two that fail, the balancer is out of rotation until one succeeds.
+func (b *balancer) pollReadiness() {
+	cost := b.sim.transferTime(readinessBytes)
+	_, received := b.ingress.pass(b.sim.now, cost)
+	_, sent := b.egress.pass(b.sim.now, cost)
+	b.missedPolls++
+	if received && sent {
+		b.missedPolls = 0
+	}
+	b.inRotation = !b.down && b.steering.Ready() && b.missedPolls < 2
+}
 
 // receive runs handle when the balancer's link, which takes linkTime for it, and
 // its processor have passed a datagram, unless it is lost or the balancer is down
--- a/internal/cropaque/packet.go
+++ b/internal/cropaque/packet.go
@@ -130,6 +130,8 @@
 	// Age is how long the caller of an offered flow has waited so far.
 	Age  time.Duration
 	Load Load
+	// Number is chosen by a balancer; the answer repeats it.
+	Number uint64
 	// KeptRoute marks a FrameTaken of a route whose flows callers keep for many
 	// requests.
 	KeptRoute bool
--- a/internal/cropaque/simulation_test.go
+++ b/internal/cropaque/simulation_test.go
@@ -1,6 +1,7 @@
 package cropaque_test
 
 import (
+	"cmp"
 	"container/heap"
 	"encoding/binary"
 	"fmt"
@@ -94,6 +95,8 @@
 	down     bool
 	// inRotation is set while the fabric sends packets to the balancer.
 	inRotation bool
+	// missedPolls counts the checks in a row that were lost at its link.
+	missedPolls int
 	// ingress and egress are the directions of its link, processor its share of
 	// a core.
 	ingress, egress, processor bottleneck
@@ -156,6 +159,12 @@
 	// kept is set if the flow of the request is kept for further ones.
 	kept     bool
 	attempts []*attempt
+	// account is the caller's address and route the address that it sends to, if
+	// they matter. maxRetries is how often it tries again if that is more often
+	// than usual.
+	account    netip.Addr
+	route      netip.AddrPort
+	maxRetries int
 }
 
 // attempt is one flow of a request.
@@ -200,10 +209,25 @@
 	// datagram; 0 means without limit.
 	linkBytes    float64
 	datagramCost time.Duration
+	// maxQueue is how much work may wait at a link or a processor, defaultMaxQueue
+	// if 0.
+	maxQueue time.Duration
+	// requestPackets is how many more packets of full size a request has than one.
+	requestPackets int
 	// controlFrames is the balancers' limit of frames for lookups and pings.
 	controlFrames float64
 	// evenLoad is the balancers' setting.
 	evenLoad bool
+	// ignoreShares makes flows wait without regard to accounts and routes.
+	ignoreShares bool
+}
+
+// shareWindow returns the window of the agents' shares.
+func (d deploymentSize) shareWindow() time.Duration {
+	if d.ignoreShares {
+		return 0
+	}
+	return cropaque.DefaultShareWindow
 }
 
 // newSimulation returns a simulation with agents in all zones and two
@@ -268,6 +292,9 @@
 		sim: sim, zone: zone, addr: machineAddr(2, i), inRotation: true,
 		frames: map[cropaque.FrameKind]int{}, frameBytes: map[cropaque.FrameKind]int{},
 	}
+	for _, l := range []*bottleneck{&b.ingress, &b.egress, &b.processor} {
+		l.maxQueue = cmp.Or(sim.size.maxQueue, defaultMaxQueue)
+	}
 	b.start()
 	sim.balancers = append(sim.balancers, b)
 }
@@ -387,7 +414,11 @@
 			}
 			b.sim.after(sent+zoneDelay(b.zone, a.zone)+b.sim.agentDelay, func() { a.handleFrame(b, &frame) })
 		},
-		ResetFlow: func(key cropaque.Key, _ uint32) { b.sim.resetCaller(key) },
+		ResetFlow: func(key cropaque.Key, _ uint32) {
+			if sent, ok := b.egress.pass(b.sim.now, b.sim.transferTime(headerBytes+packetHeadBytes)); ok {
+				b.sim.after(sent, func() { b.sim.resetCaller(key) })
+			}
+		},
 	}
 	b.steering.Init()
 }
@@ -422,7 +453,7 @@
 	sim := a.sim
 	a.down = false
 	a.gate = &cropaque.Gate{
-		Name: a.name, Zone: a.zone, AnnounceInterval: 1200 * time.Millisecond, ColdFactor: 1.5, ColdExtra: 5, StartedAt: sim.now,
+		Name: a.name, Zone: a.zone, ShareWindow: sim.size.shareWindow(), AnnounceInterval: 1200 * time.Millisecond, ColdFactor: 1.5, ColdExtra: 5, StartedAt: sim.now,
 		ToServer: func(data []byte) {
 			p := sim.decode(data)
 			sim.after(0, func() { a.server.handlePacket(p, data) })
--- a/internal/cropaque/steering.go
+++ b/internal/cropaque/steering.go
@@ -45,6 +45,13 @@
 	// ControlFrames limits the frames that are sent in a second to look up owners
 	// and to test agents; 0 means without limit.
 	ControlFrames float64
+	// LinkBytes is what the balancer's link carries in a second, in bytes; 0 means
+	// unknown. When it is known, uploads share the link.
+	LinkBytes float64
+	// ObserveTurnWait records how long an upload waited to be opened, and
+	// ObserveUplinkWait how long a packet of an upload waited for the link. They may
+	// be nil.
+	ObserveTurnWait, ObserveUplinkWait func(d time.Duration)
 	// ObservePlacement records the time from a flow's first packet until an
 	// agent has taken it. It may be nil.
 	ObservePlacement func(d time.Duration)
@@ -60,7 +67,11 @@
 	peers  map[netip.AddrPort]*peer
 	// members are the agents of each service, also those that get no new flows.
 	members map[string]*serviceMembers
-	flows   map[Key]*balancerFlow
+	// formerMembers are the agents that other balancers with an older view place
+	// flows on, or did until recently: without those that have just joined, and with
+	// those that have just left.
+	formerMembers map[string]*serviceMembers
+	flows         map[Key]*balancerFlow
 	// awaitingView are new flows that arrived before the first view, oldest
 	// first.
 	awaitingView []*balancerFlow
@@ -77,6 +88,15 @@
 	// was late and handled no timers.
 	nextTickAt time.Time
 	inGrace    bool
+	// lateBy is how late the loop was at lateAt.
+	lateBy time.Duration
+	lateAt time.Time
+	// uplink shares the link between uploads; nil without an upload route or a known
+	// link.
+	uplink *uplink
+	// suspects are the silent agents that test tests.
+	suspects []*peer
+	test     silenceTest
 }
 
 // Init prepares the steering for use.
@@ -86,12 +106,14 @@
 	s.keptEvidence = map[netip.AddrPort]int{}
 	s.control.perSecond = s.ControlFrames
 	s.view = &crwire.View{}
+	s.initUplink()
 }
 
 // SetView applies a newer view.
 func (s *Steering) SetView(now time.Time, v *crwire.View) {
 	s.view, s.routes = v, newRoutes(v)
-	s.members = map[string]*serviceMembers{}
+	s.setUplink()
+	s.members, s.formerMembers = map[string]*serviceMembers{}, map[string]*serviceMembers{}
 	zonesOut := map[string]bool{}
 	for _, z := range v.ZonesOut {
 		zonesOut[z] = true
@@ -107,30 +129,40 @@
 		p := s.peers[addr]
 		if p == nil || p.member.Service != m.Service || p.member.Name != m.Name {
 			p = &peer{addr: addr, lastFrameAt: now}
+			if len(s.peers) > 0 {
+				p.joinedAt = now
+			}
 			s.LogDecision(Decision{Event: "agent of " + m.Service + " joins", Agent: addr, Revision: v.Revision})
 		}
 		p.member, p.removed = m, false
 		p.takesFlows = m.State == crwire.MemberActive && !zonesOut[m.Zone]
 		peers[addr] = p
-		if s.members[m.Service] == nil {
-			s.members[m.Service] = &serviceMembers{}
+		addMember(s.members, p)
+		if now.Sub(p.joinedAt) >= joinSettleTime {
+			addMember(s.formerMembers, p)
 		}
-		s.members[m.Service].add(p)
 	}
+	s.keepFormerPeers(now, peers)
+	s.peers = peers
+	s.placeAwaitingView(now)
+}
+
+// keepFormerPeers adds the agents that are no members any more to the peers of a newer
+// view for a while: their flows may still be alive.
+func (s *Steering) keepFormerPeers(now time.Time, peers map[netip.AddrPort]*peer) {
 	for addr, p := range s.peers {
 		if peers[addr] == p {
 			continue
 		}
 		if !p.removed {
-			s.LogDecision(Decision{Event: "agent of " + p.member.Service + " is no member any more", Agent: addr, Revision: v.Revision})
+			s.LogDecision(Decision{Event: "agent of " + p.member.Service + " is no member any more", Agent: addr, Revision: s.view.Revision})
 		}
 		p.removed, p.takesFlows = true, false
 		if peers[addr] == nil && now.Sub(p.lastFrameAt) < flowRetention {
 			peers[addr] = p
+			addMember(s.formerMembers, p)
 		}
 	}
-	s.peers = peers
-	s.placeAwaitingView(now)
 }
 
 // Ready reports whether new flows can be placed.
@@ -138,6 +170,8 @@
 
 // HandlePacket processes a packet of a caller.
 func (s *Steering) HandlePacket(now time.Time, p Packet, data []byte) {
+	s.noteLoopDelay(now)
+	s.advanceUplink(now)
 	key := p.KeyFromCaller()
 	f := s.flows[key]
 	if f != nil && p.Open && f.openSeen && f.callerISN != p.Seq {
@@ -152,7 +186,7 @@
 	case p.Open && f == nil:
 		s.startFlow(now, p, data)
 	case p.Open:
-		s.handleDuplicateOpen(now, f, data)
+		s.handleDuplicateOpen(now, f, p, data)
 	case f == nil:
 		f = &balancerFlow{key: key, arrivedAt: now, lastPacketAt: now}
 		s.addFlow(f)
@@ -160,7 +194,7 @@
 		s.lookUpOwner(now, f, data)
 	default:
 		f.recordPacket(p)
-		s.forward(now, f, data)
+		s.carry(now, f, p, data)
 	}
 }
 
@@ -196,6 +230,8 @@
 		s.lookUpOwner(now, f, data)
 	case phaseLookup:
 		f.keepPending(data)
+	case phaseRejected:
+		s.lookUpOwner(now, f, data)
 	case phaseUnowned:
 		if f.timerAt.IsZero() {
 			s.lookUpOwner(now, f, data)
@@ -207,6 +243,7 @@
 
 // HandleFrame processes a frame of an agent.
 func (s *Steering) HandleFrame(now time.Time, from netip.AddrPort, fr *Frame) {
+	s.advanceUplink(now)
 	p := s.peers[from]
 	if p == nil {
 		return
@@ -217,7 +254,7 @@
 	if !p.unansweredSince.IsZero() {
 		s.answers.record(now.Sub(p.unansweredSince))
 	}
-	p.lastFrameAt, p.unansweredSince, p.unansweredPings = now, time.Time{}, 0
+	p.recordAnswer(now, fr)
 	if fr.Kind == FrameLeave {
 		p.drainingAt = now
 		return
@@ -226,11 +263,11 @@
 	f := s.flows[fr.Key]
 	switch {
 	case fr.Kind == FrameRefused:
-		s.handleRefused(now, p, f, fr.Reason)
+		s.handleRefused(now, p, f, fr)
 	case f == nil:
 	case fr.Kind == FrameTaken:
 		s.learnUse(fr.Key.Service, fr.KeptRoute)
-		s.handleTaken(now, p, f)
+		s.handleTaken(now, p, f, fr.Number)
 	case fr.Kind == FrameOwn:
 		s.handleOwn(now, p, f)
 	case fr.Kind == FrameMaybe, fr.Kind == FrameForeign:
@@ -252,6 +289,8 @@
 // When Tick runs late, answers may wait in the socket that arrived in time. It then
 // gives them a moment to be handled before it takes agents for silent.
 func (s *Steering) Tick(now time.Time) {
+	s.noteLoopDelay(now)
+	s.runUplink(now)
 	if !s.inGrace && !s.nextTickAt.IsZero() && now.Sub(s.nextTickAt) >= lateTick {
 		s.inGrace, s.nextTickAt = true, now.Add(lateTickGrace)
 		return
@@ -267,6 +306,7 @@
 		s.sweptAt = now
 		s.sweep(now)
 	}
+	s.testSilentAgents(now)
 	s.nextTickAt = s.nextTick()
 }
 
@@ -276,8 +316,7 @@
 	case phaseOpening:
 		route := s.routes[f.key.Service]
 		if route == nil {
-			delete(s.flows, f.key)
-			s.ResetFlow(f.key, 0)
+			s.reject(now, f, Decision{Event: "caller is reset: its route was removed"})
 			return
 		}
 		if p := f.owner; p != nil {
@@ -296,27 +335,27 @@
 	}
 }
 
-// sweep removes old flows, pings silent agents, and resets callers whose agent
-// has been silent for long.
+// sweep removes old flows, pings silent agents, and finds those to test.
 func (s *Steering) sweep(now time.Time) {
 	for _, p := range s.peers {
 		if !p.unansweredSince.IsZero() {
 			s.ping(now, p)
 		}
 	}
+	if s.uplink != nil {
+		s.uplink.turns.Sweep(now)
+	}
 	for key, f := range s.flows {
-		if now.Sub(f.lastPacketAt) > flowRetention {
+		idle := now.Sub(f.lastPacketAt)
+		if idle > flowRetention || f.phase == phaseRejected && idle > rejectionRetention {
 			delete(s.flows, key)
-			continue
-		}
-		if f.phase == phaseOwned && !f.ended {
-			s.resetIfOwnerSilent(now, key, f)
 		}
 	}
+	s.findSuspects(now)
 }
 
-// HasTimers reports whether any flow waits for a timer.
-func (s *Steering) HasTimers() bool { return len(s.timers) > 0 }
+// HasTimers reports whether any flow waits for a timer or for the link.
+func (s *Steering) HasTimers() bool { return len(s.timers) > 0 || !s.uplinkNextAt().IsZero() }
 
 // UntilNextTick returns the time until Tick is next needed.
 func (s *Steering) UntilNextTick(now time.Time) time.Duration {
@@ -332,5 +371,11 @@
 	if len(s.timers) > 0 && s.timers[0].at.Before(next) {
 		next = s.timers[0].at
 	}
+	if at := s.uplinkNextAt(); !at.IsZero() && at.Before(next) {
+		next = at
+	}
+	if at, running := s.test.nextAt(); running && at.Before(next) {
+		next = at
+	}
 	return next
 }
--- a/internal/cropaqueio/agent.go
+++ b/internal/cropaqueio/agent.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/apex/log"
@@ -100,7 +101,7 @@
 func (a *Agent) open() error {
 	a.decisions = newDecisionLog(a.Logger, a.Registry)
 	a.datagramCount = newDatagramCounter()
-	a.Registry.MustRegister(a.datagramCount)
+	a.Registry.MustRegister(a.datagramCount, &routeShares{agent: a})
 	backend, err := netip.ParseAddrPort(a.Backend)
 	if err != nil {
 		return fmt.Errorf("address of the backend server: %w", err)
@@ -114,7 +115,7 @@
 	defer a.mu.Unlock()
 	a.gate = &cropaque.Gate{
 		Name: a.Name, Zone: a.Zone, AnnounceInterval: a.AnnounceInterval, ColdFactor: a.ColdFactor, ColdExtra: a.ColdExtra, StartedAt: time.Now(),
-		ToServer: a.sendToServer, ToCaller: a.sendToCaller, Reply: a.reply, ResetFlow: a.resetFlow,
+		ShareWindow: cropaque.DefaultShareWindow, ToServer: a.sendToServer, ToCaller: a.sendToCaller, Reply: a.reply, ResetFlow: a.resetFlow,
 		ClearReturned: a.Codec.ClearReturned, ProbeServer: a.startProbe, LogDecision: a.decisions.record,
 	}
 	a.gate.Init()
@@ -284,14 +285,13 @@
 }
 
 // probe tries to connect to the backend server. A refused connection means that
-// no process listens there. A timeout proves nothing.
+// no process listens there. Any other error may be this process's own.
 func (a *Agent) probe() {
 	conn, err := net.DialTimeout("tcp", a.Backend, probeTimeout)
 	if err == nil {
 		_ = conn.Close()
 	}
-	var op *net.OpError
-	refused := errors.As(err, &op) && !op.Timeout()
+	refused := errors.Is(err, syscall.ECONNREFUSED)
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.probing = false
