crcontrol: the test that failed once is TestConcurrentClaimsOfOneKeyGrantOne

Cause: 50 claims open a connection each at the same time, and crnet.Client gives up a connection after 100 ms. On a busy machine some aren't open by then, the call fails with "dial tcp: i/o timeout" before anything was sent, and its verdict is "unavailable" instead of "held". Any call of the package's tests through startControl could fail this way.

Change: calls of the tests are made again, within 10 s, if no connection was opened in time. All other errors count as before, and so do the verdicts.

--- a/internal/crcontrol/control_test.go
+++ b/internal/crcontrol/control_test.go
@@ -4,8 +4,10 @@
 	"bytes"
 	"compress/gzip"
 	"context"
+	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"path/filepath"
 	"strings"
@@ -78,12 +80,29 @@
 	return in
 }
 
+// callTimeout is how long a call may take in all. It is long enough for the race
+// detector on a busy machine.
+const callTimeout = 10 * time.Second
+
 // call makes a JSON call.
 func (in *instance) call(tb testing.TB, path string, body, out any) error {
 	tb.Helper()
-	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	return callConnected(in.client, in.addr, path, body, out)
+}
+
+// callConnected makes a JSON call, and makes it again if no connection was opened
+// within the client's dial timeout: then nothing was sent. On a busy machine that
+// timeout is too short for many connections at once. All other errors are returned.
+func callConnected(client *crnet.Client, addr, path string, body, out any) error {
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
-	return in.client.JSON(ctx, in.addr, path, body, out)
+	for {
+		err := client.JSON(ctx, addr, path, body, out)
+		var network *net.OpError
+		if ctx.Err() != nil || !errors.As(err, &network) || network.Op != "dial" || !network.Timeout() {
+			return err
+		}
+	}
 }
 
 // mustCall makes a JSON call and fails the test on an error.
