--- a/internal/cropaque/forwarding.go
+++ b/internal/cropaque/forwarding.go
@@ -124,21 +124,25 @@
 	case p.End || p.Size > 0 && p.Size < fullPacketBytes:
 		// A packet below the full size ends the answer.
 		if f.slot == slotRunning {
-			if f.answeredAt.IsZero() {
-				f.answeredAt = now
-			}
-			g.countWork(now, f)
-			// The duration of an error is not representative of a request's
-			// latency.
-			if duration := now.Sub(f.requestAt); g.health.recordAnswer(f.key.Service, f.responseBytes, duration) {
-				g.recordLatency(duration)
-			}
+			g.recordAnswer(now, f)
 		}
 		g.setSlot(f, slotNone)
 	}
 	f.ended = f.ended || p.End
 }
 
+// recordAnswer records that the request of a flow was answered.
+func (g *Gate) recordAnswer(now time.Time, f *agentFlow) {
+	g.countWork(now, f)
+	if f.answeredAt.IsZero() {
+		f.answeredAt = now
+	}
+	// The duration of an error is not representative of a request's latency.
+	if duration := now.Sub(f.requestAt); g.health.recordAnswer(f.key.Service, f.responseBytes, duration) {
+		g.recordLatency(duration)
+	}
+}
+
 // recordLatency adds the duration of a request to the average.
 func (g *Gate) recordLatency(d time.Duration) {
 	g.meanLatency += time.Duration(averageWeight * float64(d-g.meanLatency))
