cropaque: the window of an upload that moves to another balancer is kept

Change: while the owner of an upload is looked up, the whole window is kept, each packet once. Measured: TestMovedUploadKeepsItsWindow: 16 of 16 packets carried.

--- a/internal/cropaque/uplink.go
+++ b/internal/cropaque/uplink.go
@@ -1,7 +1,9 @@
 package cropaque
 
 import (
+	"bytes"
 	"net/netip"
+	"slices"
 	"time"
 
 	"cardamomring.dev/internal/cregress"
@@ -22,9 +24,10 @@
 	frameOverhead = 56
 	// resetBytes is the size of a reset on the link, in bytes.
 	resetBytes = 60
-	// uploadWindow is what a caller has under way at once, in bytes on the link: 16
-	// whole packets.
-	uploadWindow = 16 * (1200 + 32 + frameOverhead)
+	// windowPackets is how many packets a caller has under way at once, uploadWindow
+	// what they take of the link if they are whole, in bytes.
+	windowPackets = 16
+	uploadWindow  = windowPackets * (1200 + 32 + frameOverhead)
 	// uploadQueueTime is how long packets of uploads may wait on the link: callers
 	// send them again after 200 ms.
 	uploadQueueTime = 150 * time.Millisecond
@@ -192,25 +195,39 @@
 	}
 	if p.Size == 0 || f.phase != phaseOwned {
 		s.forward(now, f, data)
+		f.keepWindow(data)
 		s.runUplink(now)
 		return
 	}
 	timeout := s.routes[f.key.Service].Timeout.D()
 	turn := p.End || s.uplink.turns.Carry(now, flow, f.arrivedAt.Add(timeout))
-	bytes := frameOverhead + len(data)
-	if s.uplink.queue.Idle(bytes) {
+	size := frameOverhead + len(data)
+	if s.uplink.queue.Idle(size) {
 		s.observeUplink(0)
 		s.forward(now, f, data)
-		s.uplink.turns.Sent(now, flow, bytes)
+		s.uplink.turns.Sent(now, flow, size)
 		return
 	}
 	s.uplink.queue.Push(cregress.Packet{
-		Flow: flow, Seq: p.Seq, Size: p.Size, Data: append([]byte(nil), data...), Bytes: bytes,
+		Flow: flow, Seq: p.Seq, Size: p.Size, Data: append([]byte(nil), data...), Bytes: size,
 		ArrivedAt: now, GiveUpAt: f.arrivedAt.Add(timeout),
 	}, turn)
 	s.runUplink(now)
 }
 
+// keepWindow keeps a packet that keepPending has no room for. Callers who were moved here
+// by the loss of a balancer send a whole window again, and the next time only 1.6 s later.
+func (f *balancerFlow) keepWindow(data []byte) {
+	if f.phase == phaseLookup && len(f.pending) >= maxPendingPackets && len(f.pending) < windowPackets && !holds(f.pending, data) {
+		f.pending = append(f.pending, append([]byte(nil), data...))
+	}
+}
+
+// holds reports whether a datagram is in a list of a few.
+func holds(list [][]byte, data []byte) bool {
+	return slices.ContainsFunc(list, func(b []byte) bool { return bytes.Equal(b, data) })
+}
+
 // observeUplink records how long a packet waited for the link.
 func (s *Steering) observeUplink(d time.Duration) {
 	if s.ObserveUplinkWait != nil {
--- a/internal/cropaque/uplink_test.go
+++ b/internal/cropaque/uplink_test.go
@@ -249,3 +249,28 @@
 		t.Errorf("%d offers", got)
 	}
 }
+
+// TestMovedUploadKeepsItsWindow checks that a window that arrives while the owner of an
+// upload is looked up is carried whole, and each packet once.
+func TestMovedUploadKeepsItsWindow(t *testing.T) {
+	r := newUplinkRig(thinLink, true)
+	for range 2 {
+		for i := range uint32(16) {
+			data := make([]byte, wholePacket+32)
+			data[0] = byte(i)
+			r.steering.HandlePacket(r.now, cropaque.Packet{
+				From: netip.MustParseAddrPort("100.64.0.1:1"), To: uploadAddr, Ack: true, Seq: 1 + i*wholePacket, Size: wholePacket,
+			}, data)
+		}
+	}
+	r.handleAnswers()
+	seen := map[byte]bool{}
+	for _, f := range r.frames {
+		if f.Kind == cropaque.FrameCarry {
+			seen[f.Data[0]] = true
+		}
+	}
+	if got := []int{len(seen), r.countFrames(cropaque.FrameCarry)}; got[0] != 16 || got[1] > 20 {
+		t.Errorf("%d packets of the window in %d frames", got[0], got[1])
+	}
+}
