crnode: shares of accounts and a reserve for routes are settings; the reserve is off

Cause: shares were compared on every agent, and a tenth of the work was kept for routes that aren't urgent: priority is what its customer has bought, and must be honoured at once.

--- a/cmd/crnode/main.go
+++ b/cmd/crnode/main.go
@@ -10,6 +10,7 @@
 	"os/signal"
 	"runtime/debug"
 	"syscall"
+	"time"
 
 	"github.com/alexflint/go-arg"
 
@@ -21,6 +22,9 @@
 	Role     string `arg:"positional,required" help:"balancer, control or agent"`
 	Bind     string `arg:"--bind" help:"IP address that control listens on for our own processes, where they reach it by another one, such as a proxy's"`
 	EvenLoad bool   `arg:"--even-load" help:"balancer: spread new flows for even load where callers keep flows open for many requests"`
+	// ShareWindow and RouteReserve are settings of an agent.
+	ShareWindow  time.Duration `arg:"--share-window" help:"agent: while flows of several client accounts wait, those of an account that got more than its share of the work in this time go last; 0 means without regard to accounts"`
+	RouteReserve float64       `arg:"--route-reserve" help:"agent: share of the work, 0 to 1, that is divided between the routes in use as their minimum; needs --share-window"`
 }
 
 // Description returns the first line of the help.
--- a/cmd/crnode/process.go
+++ b/cmd/crnode/process.go
@@ -85,7 +85,10 @@
 	case "balancer":
 		p.setUpBalancer(a.EvenLoad)
 	case "agent":
-		p.setUpAgent()
+		if a.ShareWindow < 0 || a.RouteReserve < 0 || a.RouteReserve > 1 || a.RouteReserve > 0 && a.ShareWindow == 0 {
+			return nil, fmt.Errorf("--share-window %s, --route-reserve %g: want a time that isn't negative and a share from 0 to 1, which needs a time", a.ShareWindow, a.RouteReserve)
+		}
+		p.setUpAgent(a.ShareWindow, a.RouteReserve)
 	case "control":
 		p.setUpControl()
 	default:
--- a/cmd/crnode/roles.go
+++ b/cmd/crnode/roles.go
@@ -90,12 +90,13 @@
 }
 
 // setUpAgent sets the process up to run an agent.
-func (p *process) setUpAgent() {
+func (p *process) setUpAgent(shareWindow time.Duration, routeReserve float64) {
 	s := p.settings
 	a := &cropaqueio.Agent{
 		Name: s.Name, Zone: s.Zone, Host: s.Name, Backend: s.BackendAddr, FrameAddr: s.InternalAddr(), OutboundAddr: s.Listen.Outbound,
 		CallerPort: s.CallerPort(), Sources: s.ControlAddrs(), Codec: codec,
 		AnnounceInterval: time.Duration(s.AnnounceIntervalMS) * time.Millisecond, ColdFactor: s.Bounds.ColdFactor, ColdExtra: s.Bounds.ColdExtra,
+		ShareWindow: shareWindow, RouteReserve: routeReserve,
 		DrainTimeout: p.boundByStopGrace(agentDrainTimeout), Client: p.client, Registry: p.registry, Logger: p.logger,
 	}
 	p.runRole, p.checkReady, p.setControls = a.Run, a.Serving, a.SetSources
--- a/internal/cropaque/gate.go
+++ b/internal/cropaque/gate.go
@@ -47,6 +47,10 @@
 	// compared when flows wait for a slot; 0 means that flows wait without regard
 	// to it.
 	ShareWindow time.Duration
+	// RouteReserve is the share of the work, 0 to 1, that is divided between the
+	// routes in use as their minimum; 0 means that flows of the most urgent route
+	// always go first. It needs a ShareWindow.
+	RouteReserve float64
 	// ToServer sends a packet to the backend server.
 	ToServer func(data []byte)
 	// ToCaller sends a packet to the caller of a flow.
--- a/internal/cropaque/share.go
+++ b/internal/cropaque/share.go
@@ -9,9 +9,6 @@
 )
 
 const (
-	// DefaultShareWindow is the time over which the work of accounts and routes is
-	// compared: some ten requests of each slot, and soon forgotten.
-	DefaultShareWindow = time.Second
 	// maxAccounts limits the client accounts that are remembered for a window, at
 	// about 60 bytes each.
 	maxAccounts = 4_096
@@ -76,7 +73,7 @@
 		}
 		routesCompete = routesCompete || f.priority != flows[0].priority || f.target != flows[0].target
 	}
-	if routesCompete {
+	if routesCompete && g.RouteReserve > 0 {
 		g.rankRoutes(now, flows)
 	}
 }
@@ -89,7 +86,7 @@
 	starved, next := map[netip.AddrPort]bool{}, map[netip.AddrPort]*agentFlow{}
 	for _, f := range flows {
 		route := f.key.Service
-		starved[route] = starved[route] || crshare.Starved(now, &g.shares.routes, route, now.Sub(f.arrivedAt), f.target)
+		starved[route] = starved[route] || crshare.Starved(now, &g.shares.routes, route, g.RouteReserve, now.Sub(f.arrivedAt), f.target)
 		if first := next[route]; first == nil || f.goesBefore(first, completion, false) {
 			next[route] = f
 		}
@@ -123,10 +120,10 @@
 	if g.shares == nil {
 		return false
 	}
-	if !crshare.BelowMinimum(now, &g.shares.routes, f.key.Service) {
+	if !crshare.BelowMinimum(now, &g.shares.routes, f.key.Service, g.RouteReserve) {
 		return false
 	}
-	minimum := crshare.Minimum(g.shares.routes.Holders(now))
+	minimum := crshare.Minimum(g.RouteReserve, g.shares.routes.Holders(now))
 	ahead, urgent := g.queue.countOfRoute(f)
 	if urgent == 0 {
 		return false
--- a/internal/cropaqueio/agent.go
+++ b/internal/cropaqueio/agent.go
@@ -53,6 +53,12 @@
 	// gets in any second: its cold rate times ColdFactor, plus ColdExtra.
 	ColdFactor float64
 	ColdExtra  int
+	// ShareWindow is the time over which the work of client accounts and routes is
+	// compared when flows wait for a slot; 0 means that flows wait without regard to
+	// it. RouteReserve is the share of the work, 0 to 1, that is divided between the
+	// routes in use as their minimum.
+	ShareWindow  time.Duration
+	RouteReserve float64
 	// DrainTimeout limits how long a stopping agent waits for its flows to end.
 	DrainTimeout time.Duration
 	// Client calls control.
@@ -115,7 +121,7 @@
 	defer a.mu.Unlock()
 	a.gate = &cropaque.Gate{
 		Name: a.Name, Zone: a.Zone, AnnounceInterval: a.AnnounceInterval, ColdFactor: a.ColdFactor, ColdExtra: a.ColdExtra, StartedAt: time.Now(),
-		ShareWindow: cropaque.DefaultShareWindow, ToServer: a.sendToServer, ToCaller: a.sendToCaller, Reply: a.reply, ResetFlow: a.resetFlow,
+		ShareWindow: a.ShareWindow, RouteReserve: a.RouteReserve, ToServer: a.sendToServer, ToCaller: a.sendToCaller, Reply: a.reply, ResetFlow: a.resetFlow,
 		ClearReturned: a.Codec.ClearReturned, ProbeServer: a.startProbe, LogDecision: a.decisions.record,
 	}
 	a.gate.Init()
--- a/internal/crshare/decision.go
+++ b/internal/crshare/decision.go
@@ -10,10 +10,6 @@
 	// chanceRequests is how many requests beyond that an account may have got:
 	// requests that arrive at random come in small groups.
 	chanceRequests = 3
-	// routeMinimum is the share of the work that is kept for the routes that are
-	// not the most urgent, divided between all routes in equal parts. An urgent
-	// burst thus keeps at least nine tenths.
-	routeMinimum = 0.1
 	// minimumMargin is how many times its minimum a route must have got before it
 	// waits like the others, because its flows don't wait at every moment.
 	minimumMargin = 1.5
@@ -33,20 +29,20 @@
 }
 
 // Minimum returns the share of the work that each of some routes gets when it
-// needs it.
-func Minimum(routes float64) float64 { return routeMinimum / max(1, routes) }
+// needs it; reserve is the share that is divided between all of them.
+func Minimum(reserve, routes float64) float64 { return reserve / max(1, routes) }
 
 // Starved reports whether a route has got less than its minimum while one of its
 // flows has waited for at least half of its target latency. It answers a burst on
 // an urgent route that takes all room: the other routes wait for their turn as
 // long as they can, then get their minimum. What a route doesn't need, the others
 // may use.
-func Starved[K comparable](now time.Time, u *Usage[K], route K, waited, target time.Duration) bool {
-	return waited >= target/2 && BelowMinimum(now, u, route)
+func Starved[K comparable](now time.Time, u *Usage[K], route K, reserve float64, waited, target time.Duration) bool {
+	return waited >= target/2 && BelowMinimum(now, u, route, reserve)
 }
 
 // BelowMinimum reports whether a route has got less than its minimum, or so little
 // more that it would fall below it.
-func BelowMinimum[K comparable](now time.Time, u *Usage[K], route K) bool {
-	return u.Share(now, route) < minimumMargin*Minimum(u.Holders(now))
+func BelowMinimum[K comparable](now time.Time, u *Usage[K], route K, reserve float64) bool {
+	return u.Share(now, route) < minimumMargin*Minimum(reserve, u.Holders(now))
 }
