cropaque: a simpler record of a flow's answers

Change: answeredAt is the time of the latest answer; whether a flow is kept shows from it just as well.

--- a/internal/cropaque/agentflow.go
+++ b/internal/cropaque/agentflow.go
@@ -44,7 +44,7 @@
 	ended bool
 	// callerAck is the caller's latest acknowledgement number.
 	callerAck uint32
-	// requests counts the requests of the flow, answeredAt is when the first one
+	// requests counts the requests of the flow, answeredAt is when the latest one
 	// was answered. useKnown is set when it shows whether the caller keeps the
 	// flow for many requests, and kept when the flow is counted as such;
 	// runningAsKept is set while a request of it counts as one of a kept flow.
--- a/internal/cropaque/forwarding.go
+++ b/internal/cropaque/forwarding.go
@@ -124,9 +124,7 @@
 	case p.End || p.Size > 0 && p.Size < fullPacketBytes:
 		// A packet below the full size ends the answer.
 		if f.slot == slotRunning {
-			if f.answeredAt.IsZero() {
-				f.answeredAt = now
-			}
+			f.answeredAt = now
 			g.countWork(now, f)
 			// The duration of an error is not representative of a request's
 			// latency.
--- a/internal/cropaque/lasting.go
+++ b/internal/cropaque/lasting.go
@@ -10,7 +10,7 @@
 	// lastingWindow is the time over which the load of an agent is averaged: as
 	// long as the time between two reports to one balancer.
 	lastingWindow = 1500 * time.Millisecond
-	// keptIdleTime is how long a flow stays open after its first answer until it
+	// keptIdleTime is how long a flow stays open after an answer until it
 	// is taken for one that its caller keeps. A caller that sends one request
 	// closes the flow within a round trip.
 	keptIdleTime = 100 * time.Millisecond
