--- a/internal/cropaque/forwarding.go
+++ b/internal/cropaque/forwarding.go
@@ -127,10 +127,8 @@
 
 // recordAnswer records that the request of a flow was answered.
 func (g *Gate) recordAnswer(now time.Time, f *agentFlow) {
+	f.answeredAt = now
 	g.countWork(now, f)
-	if f.answeredAt.IsZero() {
-		f.answeredAt = now
-	}
 	// The duration of an error is not representative of a request's latency.
 	if duration := now.Sub(f.requestAt); g.health.recordAnswer(f.key.Service, f.responseBytes, duration) {
 		g.recordLatency(duration)
