--- a/internal/cropaque/link_test.go
+++ b/internal/cropaque/link_test.go
@@ -21,6 +21,8 @@
 	// maxQueue is how much work may wait. Datagrams beyond it are lost, as in the
 	// buffer of a socket or a link.
 	maxQueue time.Duration
+	// capacity is how many times as fast as the deployment's it is; 0 means the same.
+	capacity float64
 }
 
 // pass returns after which time a datagram that arrives now has passed, and
@@ -32,6 +34,9 @@
 	if l.freeAt.Sub(now) > l.maxQueue {
 		return 0, false
 	}
+	if l.capacity > 0 {
+		cost = time.Duration(float64(cost) / l.capacity)
+	}
 	l.freeAt = l.freeAt.Add(cost)
 	return l.freeAt.Sub(now), true
 }
--- a/internal/cropaque/simulation_test.go
+++ b/internal/cropaque/simulation_test.go
@@ -34,6 +34,8 @@
 	rnd       *rand.Rand
 	// lossRate is the share of datagrams lost between balancers and agents.
 	lossRate float64
+	// partedZone is the zone whose frames to and from other zones are lost.
+	partedZone string
 	// agentDelay is an additional delay before agents handle frames.
 	agentDelay time.Duration
 	packets    []cropaque.Packet
@@ -381,6 +383,11 @@
 	return sim.packets[binary.BigEndian.Uint64(data)]
 }
 
+// parted reports whether frames between two zones are lost.
+func (sim *simulation) parted(a, b string) bool {
+	return a != b && (a == sim.partedZone || b == sim.partedZone)
+}
+
 // zoneDelay returns the delay between two zones.
 func zoneDelay(a, b string) time.Duration {
 	if a == b {
@@ -404,7 +411,7 @@
 		Send: func(to netip.AddrPort, f *cropaque.Frame) {
 			frame, err := cropaque.ParseFrame(f.Append(nil))
 			a := b.sim.agents[to]
-			if err != nil || a == nil || b.sim.rnd.Float64() < b.sim.lossRate {
+			if err != nil || a == nil || b.sim.parted(b.zone, a.zone) || b.sim.rnd.Float64() < b.sim.lossRate {
 				return
 			}
 			b.count(&frame)
@@ -470,11 +477,11 @@
 			if frame.Load.Kept > 0 || frame.KeptRoute {
 				sim.keptReports++
 			}
-			if other := sim.agents[to]; other != nil {
+			if other := sim.agents[to]; other != nil && !sim.parted(a.zone, other.zone) {
 				sim.after(zoneDelay(a.zone, other.zone), func() { other.handleAgentFrame(a, &frame) })
 			}
 			for _, b := range sim.balancers {
-				if b.addr == to {
+				if b.addr == to && !sim.parted(a.zone, b.zone) {
 					b.count(&frame)
 					sim.after(zoneDelay(a.zone, b.zone), func() {
 						b.receive(sim.linkTime(&frame), func() { b.steering.HandleFrame(sim.now, a.addr, &frame) })
