cropaque: one function refuses a flow and logs why

Cause, found while reading the whole change once more: refuseOverShare wrote the log line and the frame of refuse again, without its check that a balancer has offered the flow, and refuse computed the load twice. Two comments of the queue ran over their lines.

Change: refuseWith, which both call.

--- a/internal/cropaque/admission.go
+++ b/internal/cropaque/admission.go
@@ -127,12 +127,19 @@
 
 // refuse refuses a flow and sends the reason to its balancer.
 func (g *Gate) refuse(now time.Time, to offerFrom, key Key, reason Reason) {
-	g.LogDecision(Decision{Event: "flow is refused", Key: key, Reason: reason, Load: g.load(now), Revision: g.view.Revision, Routine: true})
+	g.refuseWith(now, to, Decision{Event: "flow is refused", Key: key, Reason: reason})
+}
+
+// refuseWith refuses a flow for the reason of a decision, and logs the decision with
+// the load.
+func (g *Gate) refuseWith(now time.Time, to offerFrom, d Decision) {
+	d.Load, d.Revision, d.Routine = g.load(now), g.view.Revision, true
+	g.LogDecision(d)
 	if !to.balancer.IsValid() {
 		// No balancer has offered it to this agent.
 		return
 	}
-	g.Reply(to.balancer, &Frame{Kind: FrameRefused, Key: key, Number: to.number, Reason: reason, Load: g.load(now)})
+	g.Reply(to.balancer, &Frame{Kind: FrameRefused, Key: d.Key, Number: to.number, Reason: d.Reason, Load: d.Load})
 }
 
 // giveBack refuses a flow whose opening packet the backend server got. If the backend
--- a/internal/cropaque/queue.go
+++ b/internal/cropaque/queue.go
@@ -56,7 +56,8 @@
 }
 
 // crowded reports whether more flows are queued than can be served in time in
-// order of age; flows with a larger excess than maxExcess don't count; slotInterval is the time from one free slot to the next.
+// order of age; flows with a larger excess than maxExcess don't count; slotInterval is
+// the time from one free slot to the next.
 func (q waitQueue) crowded(completion time.Time, slotInterval, maxExcess time.Duration) bool {
 	wait, minTarget := time.Duration(0), time.Duration(math.MaxInt64)
 	for _, f := range q {
@@ -88,7 +89,8 @@
 
 // goesBefore reports whether a flow goes before another. Late flows go last even
 // if their account is within its share: the answer that still comes in time
-// counts for more. If crowded, the newest of the flows that can be answered in time goes first.
+// counts for more. If crowded, the newest of the flows that can be answered in time
+// goes first.
 func (f *agentFlow) goesBefore(g *agentFlow, completion time.Time, crowded bool) bool {
 	if f.starved != g.starved {
 		return f.starved
--- a/internal/cropaque/share.go
+++ b/internal/cropaque/share.go
@@ -158,12 +158,9 @@
 // others wait. Balancers treat it like a full backend server: another one may
 // have room.
 func (g *Gate) refuseOverShare(now time.Time, f *agentFlow) {
-	load := g.load(now)
-	g.LogDecision(Decision{
+	g.refuseWith(now, f.offer, Decision{
 		Event: "flow is refused: its account is beyond its share", Key: f.key, Reason: ReasonFull, Age: f.excess,
-		Load: load, Revision: g.view.Revision, Routine: true,
 	})
-	g.Reply(f.offer.balancer, &Frame{Kind: FrameRefused, Key: f.key, Number: f.offer.number, Reason: ReasonFull, Load: load})
 }
 
 // RouteShares returns the share of the work of each route in the catalog that
