--- a/review/standin/rolledagents.go
+++ b/review/standin/rolledagents.go
@@ -7,8 +7,12 @@
 	"time"
 )
 
-// keptFlows is how many clients of each zone keep a flow of the route.
-const keptFlows = 150
+const (
+	// keptFlows is how many clients of each zone keep a flow of the route.
+	keptFlows = 150
+	// growGap is the time between two hosts that are added.
+	growGap = 700 * time.Millisecond
+)
 
 func init() { cases["rolled-agents"] = rolledAgents }
 
@@ -56,9 +60,9 @@
 		if err := s.grow(zone, "feed"); err != nil {
 			return err
 		}
-		time.Sleep(200 * time.Millisecond)
+		time.Sleep(growGap)
 	}
-	time.Sleep(3 * time.Second)
+	time.Sleep(2 * time.Second)
 	for _, m := range s.sides {
 		if m.service == "feed" {
 			s.record("the agent of %s gets SIGTERM", m.name)
