--- a/cmd/crnode/roles.go
+++ b/cmd/crnode/roles.go
@@ -127,6 +127,7 @@
 		Settings: p.controlSettings(), Ready: func(addr string) { p.logger.WithField("addr", addr).Info("listening") },
 		Registry: p.registry, Logf: p.logger.Infof, Peers: func() []string { return *p.controls.Load() },
 		FaultTolerance: p.settings.FaultTolerance.Machines, TickInterval: tickInterval, ElectionTicks: electionTicks,
+		FlowLifetime: time.Duration(p.settings.Bounds.FlowMaxS * float64(time.Second)),
 	}
 	api.Submit, api.Catalog = c.Submit, c.Catalog
 	p.runRole, p.checkReady = c.Run, c.Serving
--- a/internal/crcontrol/change.go
+++ b/internal/crcontrol/change.go
@@ -69,6 +69,9 @@
 		return unavailable(err, c.replica.Status().Address)
 	}
 	entry := crstate.Entry{Kind: change.Kind, Change: change, Findings: c.checkChange(change)}
+	if change.Kind == crwire.KindCatalog {
+		entry.FlowLifetime = c.FlowLifetime
+	}
 	if change.Kind == crwire.KindInstance && len(entry.Findings) == 0 {
 		findings, err := c.changeInstance(ctx, change)
 		if err != nil {
--- a/internal/crcontrol/control.go
+++ b/internal/crcontrol/control.go
@@ -57,6 +57,10 @@
 	// waits for 2*FaultTolerance+1 voters. An unreachable voter is removed only
 	// while that many others, and at least three, are reachable.
 	FaultTolerance int
+	// FlowLifetime is the greatest age of an open flow of opaque services; 0 means an
+	// hour. For this long the owners of a route's flows are looked up at services that
+	// it led to, too.
+	FlowLifetime time.Duration
 	// TickInterval and ElectionTicks are passed to the replica; 0 means the
 	// default.
 	TickInterval  time.Duration
@@ -181,8 +185,8 @@
 	}
 }
 
-// loop removes agents with expired leases and unreachable voters until the
-// instance stops.
+// loop removes agents with expired leases, former services of routes whose time has
+// passed, and unreachable voters until the instance stops.
 func (c *Control) loop() {
 	ticker := time.NewTicker(leaseCheckInterval)
 	defer ticker.Stop()
@@ -190,6 +194,7 @@
 		select {
 		case <-ticker.C:
 			c.expireLeases()
+			c.expireFormerServices()
 			if c.Settings.Replica.Address != "" {
 				c.removeUnreachableVoter()
 			}
--- a/internal/cropaque/admission.go
+++ b/internal/cropaque/admission.go
@@ -76,7 +76,7 @@
 		return ReasonAbsent
 	case g.zoneOut:
 		return ReasonZone
-	case !routesTo(route, g.server.Service):
+	case !route.LeadsTo(g.server.Service):
 		return ReasonRoute
 	case !g.silentSince.IsZero():
 		return ReasonSilent
--- a/internal/cropaque/lookup.go
+++ b/internal/cropaque/lookup.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 )
 
@@ -36,7 +37,7 @@
 	// scopeShortList are the agents among which any balancer places the flow. They
 	// know owners that agents that joined have pushed out of the list.
 	scopeShortList
-	// scopeAll are all agents of the route's services. They are asked as the last
+	// scopeAll are all agents of the services that may hold the flow. They are asked as the last
 	// resort, if the budget has plenty: an agent that is cut off from control may
 	// not know that it was pushed out.
 	scopeAll
@@ -108,29 +109,28 @@
 	}
 }
 
-// shortListOf returns the agents of the route's services on a flow's short list, in this
-// view and as it was before the latest changes of the members.
+// shortListOf returns the agents on a flow's short list of each service that may hold the
+// flow, in this view and as it was before the latest changes of the members.
 func (s *Steering) shortListOf(now time.Time, f *balancerFlow) []*peer {
 	var list []*peer
-	for _, share := range s.routes[f.key.Service].Shares {
-		if share.Weight > 0 {
-			list = append(list, s.members[share.Service].shortList(f.key)...)
-			for _, p := range s.formerMembers[share.Service].shortList(f.key) {
-				if !contains(list, p) && (!p.removed || !p.lost(now)) {
-					list = append(list, p)
-				}
+	for service := range s.routes[f.key.Service].Holders() {
+		list = append(list, s.members[service].shortList(f.key)...)
+		for _, p := range s.formerMembers[service].shortList(f.key) {
+			if !contains(list, p) && (!p.removed || !p.lost(now)) {
+				list = append(list, p)
 			}
 		}
 	}
 	return list
 }
 
-// agentsOf returns all agents of the services of a flow's route, but for former
+// agentsOf returns all agents of the services that may hold a flow, but for former
 // members that have been silent for long.
 func (s *Steering) agentsOf(now time.Time, f *balancerFlow) []*peer {
+	holders := slices.Collect(s.routes[f.key.Service].Holders())
 	var list []*peer
 	for _, p := range s.peers {
-		if routesTo(s.routes[f.key.Service], p.member.Service) && (!p.removed || !p.lost(now)) {
+		if slices.Contains(holders, p.member.Service) && (!p.removed || !p.lost(now)) {
 			list = append(list, p)
 		}
 	}
--- a/internal/cropaque/routes.go
+++ b/internal/cropaque/routes.go
@@ -31,19 +31,6 @@
 	return slices.SortedFunc(maps.Keys(s.routes), netip.AddrPort.Compare)
 }
 
-// routesTo reports whether a route leads to a service.
-func routesTo(r *crdoc.Route, service string) bool {
-	if r == nil {
-		return false
-	}
-	for _, s := range r.Shares {
-		if s.Service == service && s.Weight > 0 {
-			return true
-		}
-	}
-	return false
-}
-
 // pickService picks a service of a route by weight: point, from 0 to 1, is a
 // position on the weights laid end to end.
 func pickService(r *crdoc.Route, point float64) string {
--- a/internal/crstate/catalog.go
+++ b/internal/crstate/catalog.go
@@ -1,6 +1,8 @@
 package crstate
 
 import (
+	"time"
+
 	"cardamomring.dev/internal/crwire"
 	"cardamomring.dev/pkg/crdoc"
 )
@@ -8,7 +10,9 @@
 // applyCatalog sets the catalog if its version is higher than the current
 // one. A lower or equal version is acknowledged and changes nothing, so an
 // operator can safely retry after a lost response.
-func (s *State) applyCatalog(c *crwire.Change, findings crdoc.Findings, line *crwire.Audit) (*crwire.Delta, crwire.Result) {
+func (s *State) applyCatalog(
+	c *crwire.Change, findings crdoc.Findings, line *crwire.Audit, lifetime time.Duration,
+) (*crwire.Delta, crwire.Result) {
 	current := s.CatalogSource().Version
 	line.Subject, line.From, line.To = "catalog", current, current
 	if c.Catalog == nil {
@@ -21,12 +25,20 @@
 		return nil, crwire.Result{Code: crwire.CodeOK, Version: current, Text: "a version as high is in force"}
 	}
 	line.To = c.Catalog.Version
-	delta := s.nextRevision()
-	delta.Catalog = s.Catalog.Diff(c.Catalog)
-	s.Catalog, s.Source = c.Catalog, c.Source
+	s.recordFormer(c.Catalog, lifetime)
+	delta := s.replaceCatalog(s.withFormer(c.Catalog))
+	s.Source = c.Source
 	return delta, crwire.Result{Code: crwire.CodeOK, Version: c.Catalog.Version}
 }
 
+// replaceCatalog puts a catalog into force.
+func (s *State) replaceCatalog(c *crdoc.Catalog) *crwire.Delta {
+	delta := s.nextRevision()
+	delta.Catalog = s.Catalog.Diff(c)
+	s.Catalog = c
+	return delta
+}
+
 // CatalogSource returns the source text and version of the current catalog.
 func (s *State) CatalogSource() crwire.StoredCatalog {
 	if s.Catalog == nil {
--- a/internal/crstate/change.go
+++ b/internal/crstate/change.go
@@ -43,7 +43,7 @@
 	case crwire.KindApply:
 		delta, result = s.applyService(c, e.Findings, &line)
 	case crwire.KindCatalog:
-		delta, result = s.applyCatalog(c, e.Findings, &line)
+		delta, result = s.applyCatalog(c, e.Findings, &line, e.FlowLifetime)
 	case crwire.KindInstance:
 		result = auditInstance(c, e.Findings, &line)
 	default:
--- a/internal/crstate/snapshot.go
+++ b/internal/crstate/snapshot.go
@@ -3,6 +3,9 @@
 import (
 	"encoding/json"
 	"fmt"
+	"net/netip"
+
+	"cardamomring.dev/pkg/crdoc"
 )
 
 // Snapshot encodes the state. Equal states have equal encodings.
@@ -21,6 +24,9 @@
 	if err := json.Unmarshal(data, &s.persisted); err != nil {
 		return nil, fmt.Errorf("decode state snapshot: %w", err)
 	}
+	if s.Former == nil {
+		s.Former = map[netip.AddrPort][]crdoc.FormerService{}
+	}
 	for _, r := range s.ChangeResults {
 		s.resultByID[r.ID] = r
 	}
--- a/internal/crstate/state.go
+++ b/internal/crstate/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"net/netip"
 	"slices"
 	"time"
 
@@ -42,6 +43,9 @@
 	// operator wrote it.
 	Catalog *crdoc.Catalog `json:"catalog,omitempty"`
 	Source  []byte         `json:"source,omitempty"`
+	// Former holds the former services by the address of the route, also while no
+	// route has that address.
+	Former map[netip.AddrPort][]crdoc.FormerService `json:"former,omitempty"`
 	// Claims holds the claims by service and key.
 	Claims map[string]map[string]*claim `json:"claims"`
 }
@@ -55,6 +59,7 @@
 			Members:      map[uint32]crwire.Member{},
 			AgentNumbers: map[string]uint32{},
 			Claims:       map[string]map[string]*claim{},
+			Former:       map[netip.AddrPort][]crdoc.FormerService{},
 		},
 		resultByID: map[string]changeResult{},
 		claimBytes: map[string]int{},
@@ -77,6 +82,8 @@
 		return s.applyClaims(e.Claims)
 	case crwire.KindOutcomes:
 		s.applySettles(e.Settles)
+	case crwire.KindExpire:
+		return Reply{Delta: s.expireFormer()}
 	}
 	return Reply{}
 }
--- a/internal/crstate/state_test.go
+++ b/internal/crstate/state_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"net/netip"
 	"testing"
 	"time"
 
@@ -17,6 +18,9 @@
 // start is the time of the first entry.
 var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
+// addrPorts compares addresses.
+var addrPorts = cmp.Comparer(func(x, y netip.AddrPort) bool { return x == y })
+
 // drawEntry draws an entry. It uses only a few names, so that entries refer to
 // the same services, keys and agents.
 func drawEntry(t *rapid.T, now time.Time) crstate.Entry {
@@ -53,6 +57,9 @@
 		ID:     fmt.Sprint(rapid.IntRange(0, 20).Draw(t, "id")),
 		Author: name.Draw(t, "author"), Kind: kind, Zone: name.Draw(t, "zone"),
 	}
+	if kind == crwire.KindCatalog {
+		c.Catalog = drawCatalog(t, name)
+	}
 	if kind == crwire.KindApply {
 		c.Service = &crdoc.Service{
 			Name: name.Draw(t, "service"), Version: uint64(rapid.IntRange(0, 3).Draw(t, "version")),
@@ -62,6 +69,20 @@
 	return c
 }
 
+// drawCatalog draws a catalog of up to two routes to a few services.
+func drawCatalog(t *rapid.T, service *rapid.Generator[string]) *crdoc.Catalog {
+	c := &crdoc.Catalog{Version: uint64(rapid.IntRange(1, 40).Draw(t, "catalog"))}
+	for port := range uint16(2) {
+		if !rapid.Bool().Draw(t, "route") {
+			continue
+		}
+		c.Routes = append(c.Routes, crdoc.Route{Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{198, 18, 0, 1}), 1+port), Shares: []crdoc.Share{
+			{Service: service.Draw(t, "service"), Weight: 1}, {Service: service.Draw(t, "other"), Weight: float64(rapid.IntRange(0, 1).Draw(t, "weight"))},
+		}})
+	}
+	return c
+}
+
 // drawEntries draws a sequence of entries whose clock may go back.
 func drawEntries(t *rapid.T) []crstate.Entry {
 	n := rapid.IntRange(1, 60).Draw(t, "entries")
@@ -87,7 +108,7 @@
 				}
 				replica = restored
 			}
-			if diff := cmp.Diff(original.Apply(e), replica.Apply(roundTrip(t, e))); diff != "" {
+			if diff := cmp.Diff(original.Apply(e), replica.Apply(roundTrip(t, e)), addrPorts); diff != "" {
 				t.Fatalf("replies to entry %d (-original +replica):\n%s", i, diff)
 			}
 		}
--- a/internal/crwire/change.go
+++ b/internal/crwire/change.go
@@ -30,6 +30,8 @@
 	// KindRead changes nothing. Once it is applied, the state includes
 	// everything that was committed before the entry was proposed.
 	KindRead
+	// KindExpire removes the former services of routes whose time has passed.
+	KindExpire
 )
 
 // Op is an operation on a control instance.
--- a/internal/crwire/enum_gen.go
+++ b/internal/crwire/enum_gen.go
@@ -96,11 +96,11 @@
 	return err
 }
 
-const _KindName = "applyzoneoutzoneinmembersclaimssinstancecatalogread"
+const _KindName = "applyzoneoutzoneinmembersclaimssinstancecatalogreadexpire"
 
-var _KindIndex = [...]uint8{0, 5, 12, 18, 25, 31, 32, 40, 47, 51}
+var _KindIndex = [...]uint8{0, 5, 12, 18, 25, 31, 32, 40, 47, 51, 57}
 
-const _KindLowerName = "applyzoneoutzoneinmembersclaimssinstancecatalogread"
+const _KindLowerName = "applyzoneoutzoneinmembersclaimssinstancecatalogreadexpire"
 
 func (i Kind) String() string {
 	if i < 0 || i >= Kind(len(_KindIndex)-1) {
@@ -122,9 +122,10 @@
 	_ = x[KindInstance-(6)]
 	_ = x[KindCatalog-(7)]
 	_ = x[KindRead-(8)]
+	_ = x[KindExpire-(9)]
 }
 
-var _KindValues = []Kind{KindApply, KindZoneOut, KindZoneIn, KindMembers, KindClaims, KindOutcomes, KindInstance, KindCatalog, KindRead}
+var _KindValues = []Kind{KindApply, KindZoneOut, KindZoneIn, KindMembers, KindClaims, KindOutcomes, KindInstance, KindCatalog, KindRead, KindExpire}
 
 var _KindNameToValueMap = map[string]Kind{
 	_KindName[0:5]:   KindApply,
@@ -136,6 +137,7 @@
 	_KindName[32:40]: KindInstance,
 	_KindName[40:47]: KindCatalog,
 	_KindName[47:51]: KindRead,
+	_KindName[51:57]: KindExpire,
 }
 
 var _KindLowerNameToValueMap = map[string]Kind{
@@ -148,6 +150,7 @@
 	_KindLowerName[32:40]: KindInstance,
 	_KindLowerName[40:47]: KindCatalog,
 	_KindLowerName[47:51]: KindRead,
+	_KindLowerName[51:57]: KindExpire,
 }
 
 var _KindNames = []string{
@@ -160,6 +163,7 @@
 	_KindName[32:40],
 	_KindName[40:47],
 	_KindName[47:51],
+	_KindName[51:57],
 }
 
 // KindString retrieves an enum value from the enum constants string name.
--- a/pkg/crdoc/catalog.go
+++ b/pkg/crdoc/catalog.go
@@ -1,6 +1,10 @@
 package crdoc
 
-import "net/netip"
+import (
+	"iter"
+	"net/netip"
+	"time"
+)
 
 // Catalog lists all opaque services and the addresses that are routed to
 // them, as one versioned document. The highest version is in force.
@@ -34,6 +38,17 @@
 	// Shares lists the services that receive the flows, with relative weights.
 	// At least one weight must be positive.
 	Shares []Share `json:"shares"`
+	// Former lists the services that get no new flows of the route any more and may
+	// still hold open ones. Control sets it; what operators send is replaced.
+	Former []FormerService `json:"former,omitempty"`
+}
+
+// FormerService is a service that a route led to.
+type FormerService struct {
+	Service string `json:"service"`
+	// Until is when the oldest flow that it may hold has reached the greatest age of
+	// flows, by control's clock.
+	Until time.Time `json:"until"`
 }
 
 // Share is the relative share of a route's flows that a service receives.
@@ -42,6 +57,37 @@
 	Weight  float64 `json:"weight"`
 }
 
+// LeadsTo reports whether new flows of the route may go to a service. A nil route leads
+// nowhere.
+func (r *Route) LeadsTo(service string) bool {
+	if r == nil {
+		return false
+	}
+	for _, s := range r.Shares {
+		if s.Service == service && s.Weight > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// Holders returns the services that may hold open flows of the route: those that get new
+// flows, and then the former ones.
+func (r *Route) Holders() iter.Seq[string] {
+	return func(yield func(string) bool) {
+		for _, s := range r.Shares {
+			if s.Weight > 0 && !yield(s.Service) {
+				return
+			}
+		}
+		for _, s := range r.Former {
+			if !r.LeadsTo(s.Service) && !yield(s.Service) {
+				return
+			}
+		}
+	}
+}
+
 // OpaqueService is a service whose flows the system forwards without parsing
 // their content.
 type OpaqueService struct {
