--- a/internal/crcontrol/bench_test.go
+++ b/internal/crcontrol/bench_test.go
@@ -91,7 +91,8 @@
 					kind = crwire.KindZoneIn
 				}
 				var result crwire.Result
-				in.mustCall(b, "/change", crwire.Change{ID: fmt.Sprint("b", i), Kind: kind, Zone: "z2"}, &result)
+				base := uint64(i)
+				in.mustCall(b, "/change", crwire.Change{ID: fmt.Sprint("b", i), Kind: kind, Zone: "z2", Base: &base}, &result)
 				d.waitForRevision(result.Revision)
 				times = append(times, time.Since(start))
 			}
--- a/internal/crcontrol/change.go
+++ b/internal/crcontrol/change.go
@@ -48,6 +48,10 @@
 		return
 	}
 	change.Author = author
+	if result, ok := c.zoneVersion(&change); ok {
+		c.writeResult(w, result)
+		return
+	}
 	status := c.waitForLeader(r.Context())
 	switch {
 	case status.Leading:
@@ -86,6 +90,26 @@
 	return reply.Result
 }
 
+// zoneVersion returns the result of a valid order about a zone that names no version of
+// it: the version that this instance knows. The caller repeats the order with it, so that
+// an order counts from the moment when its caller was there. Otherwise one that waited in
+// the network, or in a process that stood still, could undo an order that was
+// acknowledged after its caller had given up.
+func (c *Control) zoneVersion(change *crwire.Change) (crwire.Result, bool) {
+	isZone := change.Kind == crwire.KindZoneOut || change.Kind == crwire.KindZoneIn
+	if !isZone || change.Base != nil || change.Zone == "" || len(c.checkChange(change)) > 0 {
+		return crwire.Result{}, false
+	}
+	var version, revision uint64
+	if err := c.replica.Do(func() { version, revision = c.state.ZoneVersion(change.Zone), c.state.Revision() }); err != nil {
+		return unavailable(err, ""), true
+	}
+	return crwire.Result{
+		Code: crwire.CodeConflict, Revision: revision, Version: version,
+		Text: fmt.Sprintf("the order names no version of the zone, which is at version %d", version),
+	}, true
+}
+
 // checkChange returns the errors in a change, checked against the settings of this
 // instance.
 func (c *Control) checkChange(change *crwire.Change) crdoc.Findings {
--- a/internal/crcontrol/client.go
+++ b/internal/crcontrol/client.go
@@ -26,6 +26,9 @@
 	if result, ok := c.alreadyInForce(change); ok {
 		return result
 	}
+	if result, ok := c.zoneVersion(change); ok {
+		return result
+	}
 	status := c.waitForLeader(ctx)
 	if status.Leading {
 		return c.commitChange(ctx, change)
--- a/internal/crreplica/propose.go
+++ b/internal/crreplica/propose.go
@@ -65,6 +65,10 @@
 	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
 	defer cancel()
 	p := proposal{append: add, result: make(chan outcome, 1)}
+	if ctx.Err() != nil {
+		// The caller has left. The select below takes any case that is ready.
+		return nil, ErrNoQuorum
+	}
 	select {
 	case r.proposals <- p:
 	case <-ctx.Done():
--- a/internal/crstate/change.go
+++ b/internal/crstate/change.go
@@ -118,7 +118,9 @@
 }
 
 // applyZone takes a zone out of service or brings it back. If the zone already
-// is in that state, the revision stays the same.
+// is in that state, the revision stays the same. An order that was made for an earlier
+// version of the zone is refused: its caller may have left long ago, while a later order
+// was acknowledged. An order without a base is from a log of an earlier release.
 func (s *State) applyZone(c *crwire.Change, findings crdoc.Findings, line *crwire.Audit) (*crwire.Delta, crwire.Result) {
 	line.Subject = c.Zone
 	if c.Zone == "" {
@@ -127,14 +129,25 @@
 	if len(findings) > 0 {
 		return nil, invalidResult(findings, 0)
 	}
+	version := s.ZoneVersions[c.Zone]
+	line.From, line.To = version, version
+	if c.Base != nil && *c.Base != version {
+		text := fmt.Sprintf("the zone is at version %d; the order was made for version %d", version, *c.Base)
+		return nil, crwire.Result{Code: crwire.CodeConflict, Version: version, Text: text}
+	}
+	version++
+	s.ZoneVersions[c.Zone], line.To = version, version
 	if !s.setZone(c.Zone, c.Kind == crwire.KindZoneOut) {
-		return nil, crwire.Result{Code: crwire.CodeOK, Text: "nothing to change"}
+		return nil, crwire.Result{Code: crwire.CodeOK, Version: version, Text: "nothing to change"}
 	}
 	delta := s.nextRevision()
 	delta.ZonesOut, delta.ZonesOutChanged = s.View().ZonesOut, true
-	return delta, crwire.Result{Code: crwire.CodeOK}
+	return delta, crwire.Result{Code: crwire.CodeOK, Version: version}
 }
 
+// ZoneVersion returns how many orders about a zone were carried out.
+func (s *State) ZoneVersion(zone string) uint64 { return s.ZoneVersions[zone] }
+
 // auditInstance fills in the audit line of a change to the set of control
 // instances. The change itself is applied by the replicated log.
 func auditInstance(c *crwire.Change, findings crdoc.Findings, line *crwire.Audit) crwire.Result {
--- a/internal/crstate/snapshot.go
+++ b/internal/crstate/snapshot.go
@@ -24,6 +24,9 @@
 	if err := json.Unmarshal(data, &s.persisted); err != nil {
 		return nil, fmt.Errorf("decode state snapshot: %w", err)
 	}
+	if s.ZoneVersions == nil {
+		s.ZoneVersions = map[string]uint64{}
+	}
 	if s.Former == nil {
 		s.Former = map[netip.AddrPort][]crdoc.FormerService{}
 	}
--- a/internal/crstate/state.go
+++ b/internal/crstate/state.go
@@ -30,8 +30,10 @@
 	// Authors holds the author of the current version of each service.
 	Authors map[string]string `json:"authors"`
 	// ZonesOut holds the zones that are out of service, sorted.
-	ZonesOut []string                 `json:"out"`
-	Members  map[uint32]crwire.Member `json:"members"`
+	ZonesOut []string `json:"out"`
+	// ZoneVersions counts the orders about each zone that were carried out.
+	ZoneVersions map[string]uint64        `json:"zones,omitempty"`
+	Members      map[uint32]crwire.Member `json:"members"`
 	// AgentNumbers holds the number of every name that has been a member.
 	AgentNumbers map[string]uint32 `json:"numbers"`
 	// ChangeResults holds the results of the latest changes, oldest first.
@@ -59,6 +61,7 @@
 			Members:      map[uint32]crwire.Member{},
 			AgentNumbers: map[string]uint32{},
 			Claims:       map[string]map[string]*claim{},
+			ZoneVersions: map[string]uint64{},
 			Former:       map[netip.AddrPort][]crdoc.FormerService{},
 		},
 		resultByID: map[string]changeResult{},
--- a/internal/crstate/state_test.go
+++ b/internal/crstate/state_test.go
@@ -57,6 +57,10 @@
 		ID:     fmt.Sprint(rapid.IntRange(0, 20).Draw(t, "id")),
 		Author: name.Draw(t, "author"), Kind: kind, Zone: name.Draw(t, "zone"),
 	}
+	if rapid.Bool().Draw(t, "based") {
+		base := uint64(rapid.IntRange(0, 5).Draw(t, "base"))
+		c.Base = &base
+	}
 	if kind == crwire.KindCatalog {
 		c.Catalog = drawCatalog(t, name)
 	}
--- a/internal/crwire/change.go
+++ b/internal/crwire/change.go
@@ -87,6 +87,10 @@
 	Service *crdoc.Service `json:"service,omitempty"`
 	// Zone is the availability zone of KindZoneOut and KindZoneIn.
 	Zone string `json:"zone,omitempty"`
+	// Base is the version of the zone for which KindZoneOut and KindZoneIn were
+	// ordered. The order is refused once another order about the zone was committed
+	// after it. Control answers an order without Base with the version in force.
+	Base *uint64 `json:"base,omitempty"`
 	// Instance is the operation of KindInstance.
 	Instance *Instance `json:"instance,omitempty"`
 	// Catalog is the catalog of KindCatalog.
@@ -102,7 +106,7 @@
 	// Revision is the revision that contains the change, or else the current
 	// revision.
 	Revision uint64 `json:"rev"`
-	// Version is the document's current version after the change.
+	// Version is the current version of the document or the zone after the change.
 	Version uint64 `json:"version,omitempty"`
 	// Winner is the author of the change that was committed first, on
 	// CodeConflict.
--- a/pkg/croper/change.go
+++ b/pkg/croper/change.go
@@ -9,6 +9,10 @@
 	"cardamomring.dev/pkg/crdoc"
 )
 
+// maxZoneTries is how often an order about a zone is sent with the version that control
+// has named, while other orders about the zone come first.
+const maxZoneTries = 3
+
 // Result is control's response to a change.
 type Result = crwire.Result
 
@@ -47,13 +51,24 @@
 }
 
 // SetZoneOut takes an availability zone out of service if out is true, and
-// brings it back otherwise. Its errors are those of Change.
+// brings it back otherwise. The order is for the version of the zone at the time of the
+// call: if it is delayed beyond the end of the call, it undoes no later order. Its errors
+// are those of Change; a *ConflictError means that other orders about the zone were
+// committed meanwhile.
 func (c *Client) SetZoneOut(ctx context.Context, zone string, out bool) (Result, error) {
-	kind := crwire.KindZoneIn
+	change := crwire.Change{Kind: crwire.KindZoneIn, Zone: zone}
 	if out {
-		kind = crwire.KindZoneOut
+		change.Kind = crwire.KindZoneOut
+	}
+	for tries := 0; ; tries++ {
+		change.ID = c.NewID()
+		result, err := c.Change(ctx, change)
+		var conflict *ConflictError
+		if !errors.As(err, &conflict) || tries == maxZoneTries {
+			return result, err
+		}
+		change.Base = &conflict.Version
 	}
-	return c.Change(ctx, crwire.Change{ID: c.NewID(), Kind: kind, Zone: zone})
 }
 
 // AddInstance admits a control instance, without a vote. address is its
--- a/pkg/croper/client_test.go
+++ b/pkg/croper/client_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -140,3 +141,50 @@
 		t.Errorf("error is %v, want ErrUnreachable", err)
 	}
 }
+
+// TestZoneOrderNamesItsVersion checks that an order about a zone is sent again with the
+// version that control names, under a new ID each time, and that it ends in a conflict
+// when other orders always come first.
+func TestZoneOrderNamesItsVersion(t *testing.T) {
+	for _, c := range []struct {
+		// conflicts is how many orders are refused.
+		conflicts int
+		want      []string
+	}{
+		{1, []string{"none", "4"}},
+		{3, []string{"none", "4", "5", "6"}},
+		{100, []string{"none", "4", "5", "6", "conflict"}},
+	} {
+		var got []string
+		ids := map[string]bool{}
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			var change crwire.Change
+			if err := json.NewDecoder(r.Body).Decode(&change); err != nil {
+				t.Error(err)
+			}
+			base := "none"
+			if change.Base != nil {
+				base = fmt.Sprint(*change.Base)
+			}
+			got = append(got, base)
+			ids[change.ID] = true
+			result := crwire.Result{Version: uint64(3 + len(got))}
+			if len(got) <= c.conflicts {
+				result.Code = crwire.CodeConflict
+			}
+			if err := json.NewEncoder(w).Encode(result); err != nil {
+				t.Error(err)
+			}
+		}))
+		_, err := newClient(t, server.Listener.Addr().String()).SetZoneOut(t.Context(), "z", true)
+		calls := len(got)
+		var conflict *croper.ConflictError
+		if errors.As(err, &conflict) {
+			got = append(got, "conflict")
+		}
+		if diff := cmp.Diff(c.want, got); diff != "" || len(ids) != calls {
+			t.Errorf("%d conflicts: versions sent under %d IDs (-want +got):\n%s", c.conflicts, len(ids), diff)
+		}
+		server.Close()
+	}
+}
