--- a/internal/cropaque/lookup.go
+++ b/internal/cropaque/lookup.go
@@ -66,13 +66,19 @@
 func (s *Steering) resumeLookup(now time.Time, f *balancerFlow) {
 	f.phase, f.owner, f.scope, f.tentative, f.lookedUpAt = phaseLookup, nil, scopeOffered, false, now
 	if s.routes[f.key.Service] == nil {
-		// The route was removed or isn't known yet.
-		f.phase, f.pending, f.timerAt = phaseUnowned, nil, time.Time{}
+		f.abandonLookup()
 		return
 	}
 	s.askScope(now, f, f.offeredAgents())
 }
 
+// abandonLookup ends a lookup of a flow whose route was removed or isn't known yet. Nothing
+// tells then who may hold the flow, so its caller isn't reset. The caller's next packet
+// begins a lookup if the route is there again.
+func (f *balancerFlow) abandonLookup() {
+	f.phase, f.pending, f.timerAt = phaseUnowned, nil, time.Time{}
+}
+
 // askScope asks the agents of a scope that haven't answered, or goes on with the next
 // scope if there are none.
 func (s *Steering) askScope(now time.Time, f *balancerFlow, list []*peer) {
@@ -255,8 +261,12 @@
 // or are late, and none of them claimed to own it. Those that may own it get its
 // packets one after the other; each returns them if it doesn't. The lookup then goes
 // on and doesn't start anew, or flows without an owner would keep the balancer busy.
+//
+// The view may have changed since the lookup began.
 func (s *Steering) concludeLookup(now time.Time, f *balancerFlow) {
 	switch {
+	case s.routes[f.key.Service] == nil:
+		f.abandonLookup()
 	case len(f.candidates) == 0:
 		s.widenLookup(now, f)
 	case !s.control.take(now, 1):
--- a/pkg/crdoc/catalog.go
+++ b/pkg/crdoc/catalog.go
@@ -72,9 +72,12 @@
 }
 
 // Holders returns the services that may hold open flows of the route: those that get new
-// flows, and then the former ones.
+// flows, and then the former ones. A nil route has none.
 func (r *Route) Holders() iter.Seq[string] {
 	return func(yield func(string) bool) {
+		if r == nil {
+			return
+		}
 		for _, s := range r.Shares {
 			if s.Weight > 0 && !yield(s.Service) {
 				return
