--- a/internal/crcontrol/announce.go
+++ b/internal/crcontrol/announce.go
@@ -57,7 +57,7 @@
 	}
 	c.metrics.renewals.Add(float64(len(members)))
 	if len(changed) > 0 {
-		if _, err := c.commit(ctx, crstate.Entry{Kind: crwire.KindMembers, Members: changed}); err != nil {
+		if _, err := c.commit(ctx, crstate.Entry{Kind: crwire.KindMembers, Members: changed, FlowLifetime: c.FlowLifetime}); err != nil {
 			return nil, err
 		}
 		for _, m := range changed {
@@ -94,7 +94,7 @@
 	if err != nil || len(expired) == 0 {
 		return
 	}
-	if _, err := c.commit(c.runCtx, crstate.Entry{Kind: crwire.KindMembers, Members: expired}); err != nil {
+	if _, err := c.commit(c.runCtx, crstate.Entry{Kind: crwire.KindMembers, Members: expired, FlowLifetime: c.FlowLifetime}); err != nil {
 		return
 	}
 	for _, m := range expired {
--- a/internal/crcontrol/control.go
+++ b/internal/crcontrol/control.go
@@ -58,8 +58,8 @@
 	// while that many others, and at least three, are reachable.
 	FaultTolerance int
 	// FlowLifetime is the greatest age of an open flow of opaque services; 0 means an
-	// hour. For this long the owners of a route's flows are looked up at services that
-	// it led to, too.
+	// hour. For this long the state keeps which services a route led to and when agents
+	// joined, so that the owners of flows are found.
 	FlowLifetime time.Duration
 	// TickInterval and ElectionTicks are passed to the replica; 0 means the
 	// default.
@@ -185,8 +185,8 @@
 	}
 }
 
-// loop removes agents with expired leases, former services of routes whose time has
-// passed, and unreachable voters until the instance stops.
+// loop removes agents with expired leases, history whose time has passed, and unreachable
+// voters until the instance stops.
 func (c *Control) loop() {
 	ticker := time.NewTicker(leaseCheckInterval)
 	defer ticker.Stop()
@@ -194,7 +194,7 @@
 		select {
 		case <-ticker.C:
 			c.expireLeases()
-			c.expireFormerServices()
+			c.expireHistory()
 			if c.Settings.Replica.Address != "" {
 				c.removeUnreachableVoter()
 			}
--- a/internal/crcontrol/statemachine.go
+++ b/internal/crcontrol/statemachine.go
@@ -8,6 +8,7 @@
 
 	"cardamomring.dev/internal/crreplica"
 	"cardamomring.dev/internal/crstate"
+	"cardamomring.dev/internal/crwire"
 )
 
 // apply applies a committed entry to the state. It runs in the replica's goroutine.
@@ -22,7 +23,10 @@
 	if reply.Delta == nil {
 		return reply
 	}
-	c.leases.Apply(reply.Delta.Members, time.Now())
+	if entry.Kind != crwire.KindExpire {
+		// An expiry isn't a sign of life.
+		c.leases.Apply(reply.Delta.Members, time.Now())
+	}
 	c.metrics.agents.Set(float64(c.leases.Len()))
 	if err := c.source.Add(reply.Delta); err != nil {
 		c.source.Reset(c.state.View())
--- a/internal/cropaque/lookup.go
+++ b/internal/cropaque/lookup.go
@@ -37,6 +37,9 @@
 	// scopeShortList are the agents among which any balancer places the flow. They
 	// know owners that agents that joined have pushed out of the list.
 	scopeShortList
+	// scopeRecent are the agents that may have been on the short list while flows of now
+	// were opened.
+	scopeRecent
 	// scopeAll are all agents of the services that may hold the flow. They are asked as the last
 	// resort, if the budget has plenty: an agent that is cut off from control may
 	// not know that it was pushed out.
@@ -103,6 +106,9 @@
 		f.scope = scopeShortList
 		s.askScope(now, f, s.shortListOf(now, f))
 	case scopeShortList:
+		f.scope = scopeRecent
+		s.askScope(now, f, s.recentListOf(now, f))
+	case scopeRecent:
 		all := s.agentsOf(now, f)
 		if f.unownedSince.IsZero() || now.Sub(f.unownedSince) < unownedResetDelay || !s.control.hasPlenty(now, len(all)) {
 			s.endLookup(now, f)
@@ -118,10 +124,22 @@
 // shortListOf returns the agents on a flow's short list of each service that may hold the
 // flow, in this view and as it was before the latest changes of the members.
 func (s *Steering) shortListOf(now time.Time, f *balancerFlow) []*peer {
+	return s.listOf(now, f, (*serviceMembers).shortList)
+}
+
+// recentListOf returns the agents that may have been on a flow's short list since the flow
+// was opened, whatever agents have joined or were restarted since.
+func (s *Steering) recentListOf(now time.Time, f *balancerFlow) []*peer {
+	return s.listOf(now, f, (*serviceMembers).recentList)
+}
+
+// listOf returns what a list holds for a flow, of each service that may hold the flow, in
+// this view and as it was before the latest changes of the members.
+func (s *Steering) listOf(now time.Time, f *balancerFlow, listOf func(*serviceMembers, Key) []*peer) []*peer {
 	var list []*peer
 	for service := range s.routes[f.key.Service].Holders() {
-		list = append(list, s.members[service].shortList(f.key)...)
-		for _, p := range s.formerMembers[service].shortList(f.key) {
+		list = append(list, listOf(s.members[service], f.key)...)
+		for _, p := range listOf(s.formerMembers[service], f.key) {
 			if !contains(list, p) && (!p.removed || !p.lost(now)) {
 				list = append(list, p)
 			}
@@ -282,7 +300,7 @@
 // lookup.
 func (s *Steering) endLookup(now time.Time, f *balancerFlow) {
 	f.phase, f.timerAt = phaseUnowned, time.Time{}
-	denied := f.scope >= scopeShortList && len(f.answered) == len(f.asked) && len(f.asked) > 0 && len(f.candidates) == 0
+	denied := f.scope >= scopeRecent && len(f.answered) == len(f.asked) && len(f.asked) > 0 && len(f.candidates) == 0
 	if !denied || f.ended {
 		f.pending = nil
 		return
--- a/internal/cropaque/movedroute_test.go
+++ b/internal/cropaque/movedroute_test.go
@@ -38,6 +38,13 @@
 // apply applies a catalog whose route has some shares, or no route without any.
 func (fleet *movedRouteFleet) apply(t *testing.T, shares ...crdoc.Share) {
 	t.Helper()
+	if result := fleet.applyCatalog(shares...); result.Code != crwire.CodeOK {
+		t.Fatalf("catalog %d: %+v", fleet.version, result)
+	}
+}
+
+// applyCatalog applies a catalog and returns the result.
+func (fleet *movedRouteFleet) applyCatalog(shares ...crdoc.Share) crwire.Result {
 	fleet.version++
 	fleet.now = fleet.now.Add(time.Second)
 	c := &crdoc.Catalog{Version: fleet.version}
@@ -48,9 +55,7 @@
 		c.Routes = []crdoc.Route{{Name: "r", Address: routeAddr, Timeout: crdoc.Duration(time.Second), Target: crdoc.Duration(100 * time.Millisecond), Shares: shares}}
 	}
 	change := &crwire.Change{ID: fmt.Sprint(fleet.version), Kind: crwire.KindCatalog, Catalog: c}
-	if reply := fleet.state.Apply(crstate.Entry{Kind: crwire.KindCatalog, Time: fleet.now, Change: change}); reply.Result.Code != crwire.CodeOK {
-		t.Fatalf("catalog %d: %+v", fleet.version, reply.Result)
-	}
+	return fleet.state.Apply(crstate.Entry{Kind: crwire.KindCatalog, Time: fleet.now, Change: change}).Result
 }
 
 // restore replaces the state by one from its snapshot, as after a restart of control.
--- a/internal/crstate/catalog.go
+++ b/internal/crstate/catalog.go
@@ -26,17 +26,11 @@
 	}
 	line.To = c.Catalog.Version
 	s.recordFormer(c.Catalog, lifetime)
-	delta := s.replaceCatalog(s.withFormer(c.Catalog))
-	s.Source = c.Source
-	return delta, crwire.Result{Code: crwire.CodeOK, Version: c.Catalog.Version}
-}
-
-// replaceCatalog puts a catalog into force.
-func (s *State) replaceCatalog(c *crdoc.Catalog) *crwire.Delta {
+	next := s.withFormer(c.Catalog)
 	delta := s.nextRevision()
-	delta.Catalog = s.Catalog.Diff(c)
-	s.Catalog = c
-	return delta
+	delta.Catalog = s.Catalog.Diff(next)
+	s.Catalog, s.Source = next, c.Source
+	return delta, crwire.Result{Code: crwire.CodeOK, Version: c.Catalog.Version}
 }
 
 // CatalogSource returns the source text and version of the current catalog.
--- a/internal/crstate/entry.go
+++ b/internal/crstate/entry.go
@@ -21,8 +21,8 @@
 	// checks the change against its own settings, which the state machine
 	// does not have.
 	Findings []crdoc.Finding `json:"findings,omitempty"`
-	// FlowLifetime is the greatest age of an open flow, for KindCatalog; 0 means
-	// defaultFlowLifetime.
+	// FlowLifetime is the greatest age of an open flow, for KindCatalog and
+	// KindMembers; 0 means defaultFlowLifetime.
 	FlowLifetime time.Duration `json:"lifetime,omitempty"`
 	// Members is set for KindMembers. Num is ignored.
 	Members []crwire.Member `json:"members,omitempty"`
--- a/internal/crstate/former.go
+++ b/internal/crstate/former.go
@@ -12,9 +12,9 @@
 	// defaultFlowLifetime is the greatest age of an open flow where the settings name
 	// none.
 	defaultFlowLifetime = time.Hour
-	// formerServiceSlack is added to the greatest age of flows: a balancer that is cut
+	// staleViewSlack is added to the greatest age of flows: a balancer that is cut
 	// off from control opens flows by an older catalog, and clocks of leaders differ.
-	formerServiceSlack = time.Minute
+	staleViewSlack = time.Minute
 )
 
 // recordFormer records the services that get no new flows of a route by the next
@@ -23,12 +23,9 @@
 // part of the replicated state, because the balancers that knew the earlier catalogs, and
 // the agents of the new services, may all have been restarted since.
 func (s *State) recordFormer(next *crdoc.Catalog, lifetime time.Duration) {
-	if lifetime <= 0 {
-		lifetime = defaultFlowLifetime
-	}
 	s.dropExpiredFormer()
 	if s.Catalog != nil {
-		until := s.Time.Add(lifetime + formerServiceSlack)
+		until := s.Time.Add(flowsEnd(lifetime))
 		for i := range s.Catalog.Routes {
 			s.recordHolders(&s.Catalog.Routes[i], until)
 		}
@@ -39,6 +36,15 @@
 	}
 }
 
+// flowsEnd returns how long after a change of the routes or the members flows may be open
+// that were opened before it.
+func flowsEnd(lifetime time.Duration) time.Duration {
+	if lifetime <= 0 {
+		lifetime = defaultFlowLifetime
+	}
+	return lifetime + staleViewSlack
+}
+
 // recordHolders adds the services of a route to its former ones.
 func (s *State) recordHolders(r *crdoc.Route, until time.Time) {
 	former := slices.Clone(s.Former[r.Address])
@@ -76,17 +82,23 @@
 	return changed
 }
 
-// expireFormer removes the former services whose time has passed from the routes in
-// force.
-func (s *State) expireFormer() *crwire.Delta {
-	if !s.dropExpiredFormer() || s.Catalog == nil {
-		return nil
+// expire removes the former services of routes, and the revisions at which members joined,
+// whose time has passed.
+func (s *State) expire() *crwire.Delta {
+	members := s.expireJoins()
+	var change *crdoc.CatalogChange
+	if s.dropExpiredFormer() && s.Catalog != nil {
+		next := s.withFormer(s.Catalog)
+		if diff := s.Catalog.Diff(next); len(diff.Set) > 0 {
+			change, s.Catalog = diff, next
+		}
 	}
-	next := s.withFormer(s.Catalog)
-	if change := s.Catalog.Diff(next); len(change.Set) == 0 {
+	if len(members) == 0 && change == nil {
 		return nil
 	}
-	return s.replaceCatalog(next)
+	delta := s.nextRevision()
+	delta.Members, delta.Catalog = members, change
+	return delta
 }
 
 // withFormer returns a copy of a catalog with the former services of its routes.
@@ -100,8 +112,13 @@
 	return &out
 }
 
-// FormerExpired reports whether the time of a former service has passed.
-func (s *State) FormerExpired(now time.Time) bool {
+// Expired reports whether KindExpire would remove anything.
+func (s *State) Expired(now time.Time) bool {
+	for _, joins := range [][]join{s.Joins, s.Left} {
+		if len(joins) > 0 && !joins[0].Until.After(now) {
+			return true
+		}
+	}
 	for _, former := range s.Former {
 		if slices.ContainsFunc(former, func(f crdoc.FormerService) bool { return !f.Until.After(now) }) {
 			return true
--- a/internal/crstate/former_test.go
+++ b/internal/crstate/former_test.go
@@ -95,7 +95,7 @@
 	var got []any
 	for _, after := range []time.Duration{time.Minute, 3 * time.Minute, 4 * time.Minute} {
 		now := start.Add(after)
-		got = append(got, state.FormerExpired(now))
+		got = append(got, state.Expired(now))
 		reply := state.Apply(crstate.Entry{Kind: crwire.KindExpire, Time: now})
 		got = append(got, reply.Delta != nil, len(state.View().Catalog.Routes[0].Former), string(state.CatalogSource().Source))
 	}
--- a/internal/crstate/member.go
+++ b/internal/crstate/member.go
@@ -1,6 +1,10 @@
 package crstate
 
-import "cardamomring.dev/internal/crwire"
+import (
+	"time"
+
+	"cardamomring.dev/internal/crwire"
+)
 
 // maxAgentNames limits the number of agent names that have a number. Numbers are
 // never freed. Once the limit is reached, agents with a new name are ignored.
@@ -10,10 +14,12 @@
 func (s *State) AgentNumber(name string) uint32 { return s.AgentNumbers[name] }
 
 // HasMember reports whether applying m would change nothing: the member is
-// stored with equal fields or, for MemberGone, is absent. m.Num is ignored.
+// stored with equal fields or, for MemberGone, is absent. What control sets in m is
+// ignored.
 func (s *State) HasMember(m crwire.Member) bool {
 	m.Num = s.AgentNumbers[m.Name]
 	existing, ok := s.Members[m.Num]
+	m.Since, m.First = existing.Since, existing.First
 	if m.State == crwire.MemberGone {
 		return !ok
 	}
@@ -25,12 +31,13 @@
 
 // applyMembers adds, updates and removes members, and assigns numbers to new
 // names.
-func (s *State) applyMembers(members []crwire.Member) Reply {
+func (s *State) applyMembers(members []crwire.Member, lifetime time.Duration) Reply {
 	var changed []crwire.Member
 	for _, m := range members {
 		if s.HasMember(m) || !s.assignNumber(&m) {
 			continue
 		}
+		s.recordJoin(&m, lifetime)
 		if m.State == crwire.MemberGone {
 			delete(s.Members, m.Num)
 		} else {
--- a/internal/crstate/state.go
+++ b/internal/crstate/state.go
@@ -36,6 +36,10 @@
 	Members      map[uint32]crwire.Member `json:"members"`
 	// AgentNumbers holds the number of every name that has been a member.
 	AgentNumbers map[string]uint32 `json:"numbers"`
+	// Joins holds the members that have joined, and Left those that have left, while
+	// flows may be open that are older; oldest first.
+	Joins []join `json:"joins,omitempty"`
+	Left  []join `json:"left,omitempty"`
 	// ChangeResults holds the results of the latest changes, oldest first.
 	ChangeResults []changeResult `json:"answers"`
 	// AuditSeq is the sequence number of the last audit line.
@@ -80,13 +84,13 @@
 	case crwire.KindApply, crwire.KindZoneOut, crwire.KindZoneIn, crwire.KindInstance, crwire.KindCatalog:
 		return s.applyChange(e)
 	case crwire.KindMembers:
-		return s.applyMembers(e.Members)
+		return s.applyMembers(e.Members, e.FlowLifetime)
 	case crwire.KindClaims:
 		return s.applyClaims(e.Claims)
 	case crwire.KindOutcomes:
 		s.applySettles(e.Settles)
 	case crwire.KindExpire:
-		return Reply{Delta: s.expireFormer()}
+		return Reply{Delta: s.expire()}
 	}
 	return Reply{}
 }
--- a/internal/crstate/state_test.go
+++ b/internal/crstate/state_test.go
@@ -26,7 +26,7 @@
 func drawEntry(t *rapid.T, now time.Time) crstate.Entry {
 	name := rapid.SampledFrom([]string{"a", "b", "c"})
 	kind := rapid.SampledFrom(crwire.KindValues()).Draw(t, "kind")
-	e := crstate.Entry{Kind: kind, Time: now}
+	e := crstate.Entry{Kind: kind, Time: now, FlowLifetime: time.Minute}
 	switch kind {
 	case crwire.KindMembers:
 		e.Members = []crwire.Member{{
--- a/internal/crwire/change.go
+++ b/internal/crwire/change.go
@@ -30,7 +30,8 @@
 	// KindRead changes nothing. Once it is applied, the state includes
 	// everything that was committed before the entry was proposed.
 	KindRead
-	// KindExpire removes the former services of routes whose time has passed.
+	// KindExpire removes the former services of routes, and the revisions at which
+	// agents joined, once no flow can be open that is older.
 	KindExpire
 )
 
--- a/internal/crwire/member.go
+++ b/internal/crwire/member.go
@@ -35,4 +35,9 @@
 	Weight int `json:"weight"`
 	// State is the agent's lifecycle state.
 	State MemberState `json:"state"`
+	// Since is the revision since which the agent has been a member without a break,
+	// and First the one at which it became a member first. Either is 0 once no flow can
+	// be open that is older. Control sets them.
+	Since uint64 `json:"since,omitempty"`
+	First uint64 `json:"first,omitempty"`
 }
