--- a/cmd/cardamomring/role.go
+++ b/cmd/cardamomring/role.go
@@ -7,7 +7,9 @@
 	"io"
 	"net/http"
 	"os"
+	"os/signal"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/apex/log"
@@ -46,12 +48,18 @@
 		fmt.Fprintln(errOut, err)
 		return exitUsage
 	}
-	logger, err := crobs.NewLogger(settings.Log, errOut)
+	// A write to an output that was closed returns an error then, and doesn't end the
+	// process.
+	signal.Ignore(syscall.SIGPIPE)
+	registry := crobs.NewRegistry()
+	output := &crobs.Output{W: errOut, Registry: registry}
+	logger, err := crobs.NewLogger(settings.Log, output)
 	if err != nil {
 		fmt.Fprintln(errOut, err)
 		return exitUsage
 	}
-	p := &process{role: role, settings: settings, logger: logger, registry: crobs.NewRegistry()}
+	defer output.Close()
+	p := &process{role: role, settings: settings, logger: logger, registry: registry}
 	p.createRole()
 	if err := p.serve(ctx); err != nil {
 		logger.Errorf("%s stopped: %v", settings.Name, err)
--- a/cmd/crnode/main.go
+++ b/cmd/crnode/main.go
@@ -52,6 +52,9 @@
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(2)
 	}
+	// A write to an output that was closed returns an error then, and doesn't end the
+	// process.
+	signal.Ignore(syscall.SIGPIPE)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	setMemoryLimit(settings.Limits.MemoryMB)
@@ -62,7 +65,9 @@
 	}
 	if err := p.run(ctx); err != nil {
 		p.logger.WithError(err).Error("stopped after an error")
+		p.output.Close()
 		os.Exit(1)
 	}
 	p.logger.Info("stopped")
+	p.output.Close()
 }
--- a/cmd/crnode/process.go
+++ b/cmd/crnode/process.go
@@ -42,6 +42,7 @@
 // process runs one role with its log, metrics and listeners.
 type process struct {
 	settings *platform.Settings
+	output   *crobs.Output
 	logger   *log.Logger
 	registry *prometheus.Registry
 	client   *crnet.Client
@@ -66,12 +67,14 @@
 
 // newProcess returns a process for the role that the arguments name.
 func newProcess(a args, settings *platform.Settings) (*process, error) {
-	logger, err := crobs.NewLogger(crdoc.Log{Format: crdoc.FormatJSON}, os.Stdout)
+	registry := crobs.NewRegistry()
+	output := &crobs.Output{W: os.Stdout, Registry: registry}
+	logger, err := crobs.NewLogger(crdoc.Log{Format: crdoc.FormatJSON}, output)
 	if err != nil {
 		return nil, err
 	}
 	p := &process{
-		settings: settings, logger: logger, registry: crobs.NewRegistry(), client: &crnet.Client{}, metricsPort: metricsPort,
+		settings: settings, output: output, logger: logger, registry: registry, client: &crnet.Client{}, metricsPort: metricsPort,
 		bindIP: settings.IP,
 	}
 	if a.Bind != "" {
--- a/internal/crobs/admin_test.go
+++ b/internal/crobs/admin_test.go
@@ -84,16 +84,18 @@
 
 func TestLoggerFollowsLevelAndFormat(t *testing.T) {
 	var out bytes.Buffer
-	logger, err := crobs.NewLogger(crdoc.Log{Level: "warn", Format: crdoc.FormatJSON}, &out)
+	output := &crobs.Output{W: &out}
+	logger, err := crobs.NewLogger(crdoc.Log{Level: "warn", Format: crdoc.FormatJSON}, output)
 	if err != nil {
 		t.Fatal(err)
 	}
 	logger.Info("not shown")
 	logger.Warn("shown")
+	output.Close()
 	if text := out.String(); strings.Contains(text, "not shown") || !strings.Contains(text, `"message":"shown"`) {
 		t.Errorf("log is %s, want only the warning, as JSON", text)
 	}
-	if _, err := crobs.NewLogger(crdoc.Log{Level: "loud"}, &out); err == nil {
+	if _, err := crobs.NewLogger(crdoc.Log{Level: "loud"}, &crobs.Output{W: &out}); err == nil {
 		t.Error("an unknown level was accepted")
 	}
 }
--- a/internal/crobs/log.go
+++ b/internal/crobs/log.go
@@ -12,8 +12,9 @@
 	"cardamomring.dev/pkg/crdoc"
 )
 
-// NewLogger returns a logger that writes to w with the level and the format of cfg.
-func NewLogger(cfg crdoc.Log, w io.Writer) (*log.Logger, error) {
+// NewLogger returns a logger that writes to an output, which it opens, with the level and
+// the format of cfg.
+func NewLogger(cfg crdoc.Log, out *Output) (*log.Logger, error) {
 	name := cfg.Level
 	if name == "" {
 		name = "info"
@@ -22,9 +23,11 @@
 	if err != nil {
 		return nil, fmt.Errorf("log level %q: want debug, info, warn or error", cfg.Level)
 	}
-	logger := &log.Logger{Handler: text.New(w), Level: level}
-	if cfg.Format == crdoc.FormatJSON {
-		logger.Handler = json.New(w)
-	}
-	return logger, nil
+	out.Open(func(w io.Writer) log.Handler {
+		if cfg.Format == crdoc.FormatJSON {
+			return json.New(w)
+		}
+		return text.New(w)
+	})
+	return &log.Logger{Handler: &outputHandler{output: out}, Level: level}, nil
 }
--- a/internal/cropaqueio/decisionlog.go
+++ b/internal/cropaqueio/decisionlog.go
@@ -7,6 +7,7 @@
 	"github.com/apex/log"
 	"github.com/prometheus/client_golang/prometheus"
 
+	"cardamomring.dev/internal/crobs"
 	"cardamomring.dev/internal/cropaque"
 )
 
@@ -34,7 +35,7 @@
 
 // newDecisionLog returns a decision log and registers its counter.
 func newDecisionLog(logger *log.Logger, registry *prometheus.Registry) *decisionLog {
-	d := &decisionLog{logger: logger, now: time.Now}
+	d := &decisionLog{logger: crobs.Routine(logger), now: time.Now}
 	d.events = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Namespace: "cardamomring", Subsystem: "opaque", Name: "decisions_total",
 		Help: "Decisions about opaque flows by what was decided.",
