--- a/internal/crfeed/follower.go
+++ b/internal/crfeed/follower.go
@@ -345,9 +345,14 @@
 	if len(feed.Control) > 0 {
 		f.controlAddrs = feed.Control
 	}
-	if feed.Stale && f.view.Revision == 0 {
+	switch {
+	case feed.Stale && f.view.Revision == 0:
 		f.applyProvisional(feed)
 		return nil
+	case feed.Stale && feed.Snapshot != nil && feed.Snapshot.Revision > feed.Revision:
+		// The sender doesn't know that its view is committed, and this process has a
+		// view since it asked.
+		return nil
 	}
 	v, err := ApplyFeed(f.view, feed)
 	if v == f.view {
