--- a/internal/crfeed/follower.go
+++ b/internal/crfeed/follower.go
@@ -107,6 +107,11 @@
 	next := int(f.Random() * float64(len(f.ControlAddrs())))
 	for failures := 0; ctx.Err() == nil; {
 		sources := f.ControlAddrs()
+		if len(sources) == 0 {
+			// The settings may name some later.
+			crnet.Pause(ctx, backoffBase)
+			continue
+		}
 		source := sources[next%len(sources)]
 		err := f.poll(ctx, source)
 		if err == nil {
--- a/internal/crfeed/follower_test.go
+++ b/internal/crfeed/follower_test.go
@@ -320,3 +320,31 @@
 	}
 	return w.Body.Bytes()
 }
+
+// TestFollowerWithoutSources guards against a process that ends because its settings name no
+// control instance: it follows the first one that they name later.
+func TestFollowerWithoutSources(t *testing.T) {
+	source := crfeed.NewSource(crfeed.EmptyView())
+	if err := source.Add(&crwire.Delta{From: 0, To: 1}); err != nil {
+		t.Fatal(err)
+	}
+	server := startFeedServer(t, source, false)
+	for _, provisional := range []bool{false, true} {
+		ctx, cancel := context.WithCancel(t.Context())
+		client := &crnet.Client{}
+		client.Open()
+		seen := make(chan uint64, 1)
+		f := &crfeed.Follower{Client: client, AllowProvisional: provisional, OnView: func(v *crwire.View) { seen <- v.Revision }}
+		var done sync.WaitGroup
+		done.Go(func() { f.Run(ctx) })
+		// The follower runs without sources in this time.
+		time.Sleep(50 * time.Millisecond)
+		f.SetSources([]string{server.addr})
+		if diff := cmp.Diff(uint64(1), <-seen); diff != "" {
+			t.Errorf("revision (-want +got):\n%s", diff)
+		}
+		cancel()
+		done.Wait()
+		client.Close()
+	}
+}
--- a/internal/cropaqueio/announcer.go
+++ b/internal/cropaqueio/announcer.go
@@ -90,7 +90,10 @@
 		wait := renewInterval
 		if m.Name != "" && (pending || m.State != crwire.MemberGone) {
 			sources := n.sources()
-			if err := n.announce(ctx, sources[next%len(sources)], m); err != nil {
+			if len(sources) == 0 {
+				// The settings may name some later.
+				wait = retryBackoff
+			} else if err := n.announce(ctx, sources[next%len(sources)], m); err != nil {
 				next++
 				failures++
 				if failures == len(sources) {
