--- a/cmd/crnode/main.go
+++ b/cmd/crnode/main.go
@@ -45,6 +45,9 @@
 }
 
 func main() {
+	// Until the handler is set, the signal would end the process. The settings are read
+	// after this.
+	signal.Ignore(syscall.SIGHUP)
 	var a args
 	arg.MustParse(&a)
 	settings, err := platform.LoadSettings()
