--- a/internal/crcontrol/announce.go
+++ b/internal/crcontrol/announce.go
@@ -48,7 +48,7 @@
 			if !c.state.HasMember(m) {
 				changed = append(changed, m)
 			} else if m.State != crwire.MemberGone {
-				c.leases.Renew(m.Name, now)
+				c.leases.Renew(m, now)
 			}
 		}
 	})
--- a/internal/cropaque/silence.go
+++ b/internal/cropaque/silence.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"cardamomring.dev/internal/crwire"
 )
 
 const (
@@ -17,6 +19,9 @@
 	slowAnswerFactor      = 3
 	maxSilentAgentTimeout = 4 * time.Second
 	slowAnswerTTL         = 10 * time.Second
+	// restartTime is how long an agent that has announced its stop may be silent. Its
+	// backend server goes on, and it starts again beside it.
+	restartTime = 5 * time.Second
 	// testInterval is the time between two tests of silent agents. It covers
 	// some round trips within a region and ten between zones.
 	testInterval = 125 * time.Millisecond
@@ -151,9 +156,18 @@
 	if now.Sub(p.slowestAt) <= slowAnswerTTL {
 		timeout = max(timeout, min(maxSilentAgentTimeout, slowAnswerFactor*p.slowestAnswer))
 	}
+	if p.stops() {
+		timeout = max(timeout, restartTime)
+	}
 	return !p.unansweredSince.IsZero() && now.Sub(p.unansweredSince) >= timeout && p.failedTests >= minFailedTests
 }
 
+// stops reports whether the agent fell silent after it had announced its stop, to this
+// balancer or to control.
+func (p *peer) stops() bool {
+	return p.member.State == crwire.MemberDraining || !p.drainingAt.IsZero() && p.unansweredSince.Sub(p.drainingAt) < restartTime
+}
+
 // findSuspects finds the silent agents whose loss would matter: owners of flows, and
 // former members, which lookups ask until they are lost.
 func (s *Steering) findSuspects(now time.Time) {
--- a/internal/cropaque/silence_test.go
+++ b/internal/cropaque/silence_test.go
@@ -8,6 +8,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"cardamomring.dev/internal/cropaque"
+	"cardamomring.dev/internal/crwire"
 )
 
 // TestSilenceNeedsWitnesses guards against the reset of living flows by a balancer
@@ -79,6 +80,66 @@
 	return 0
 }
 
+// TestRestartOfAnAgentIsNoLoss guards against the reset of living flows of an agent that is
+// restarted as planned and takes longer than agents may be silent: it has announced its
+// stop to the balancer, or to control. An agent that doesn't return is lost in the end.
+func TestRestartOfAnAgentIsNoLoss(t *testing.T) {
+	for _, c := range []struct {
+		toBalancer, toControl bool
+		resets                int
+	}{{resets: 1}, {toBalancer: true}, {toControl: true}} {
+		h := newSteeringHarness(20, 250)
+		var owner netip.AddrPort
+		var pinged []netip.AddrPort
+		h.steering.Send = func(to netip.AddrPort, f *cropaque.Frame) {
+			switch f.Kind {
+			case cropaque.FrameOffer:
+				owner = to
+			case cropaque.FramePing:
+				pinged = append(pinged, to)
+				h.numbers[to] = f.Number
+			}
+		}
+		p := callerPacket(1024)
+		h.steering.HandlePacket(h.now, cropaque.Packet{From: p.From, To: p.To, Open: true, Seq: 7}, []byte{1})
+		h.answer(owner, cropaque.FrameTaken, p, nil)
+		if c.toBalancer {
+			h.answer(owner, cropaque.FrameLeave, p, nil)
+		}
+		if c.toControl {
+			v := viewOf(2, 20)
+			for num, m := range v.Members {
+				if m.DatagramAddr == owner.String() {
+					m.State = crwire.MemberDraining
+					v.Members[num] = m
+				}
+			}
+			h.steering.SetView(h.now, v)
+		}
+		silentFor := func(d time.Duration) {
+			for range d / (5 * time.Millisecond) {
+				h.now = h.now.Add(5 * time.Millisecond)
+				for _, to := range pinged {
+					if to != owner {
+						h.steering.HandleFrame(h.now, to, &cropaque.Frame{Kind: cropaque.FramePong, Number: h.numbers[to]})
+					}
+				}
+				pinged = nil
+				h.steering.HandlePacket(h.now, p, []byte{1})
+				h.steering.Tick(h.now)
+			}
+		}
+		silentFor(4 * time.Second)
+		if h.resets != c.resets {
+			t.Errorf("announced to the balancer %t, to control %t: %d resets after a silence of 4 s, want %d", c.toBalancer, c.toControl, h.resets, c.resets)
+		}
+		silentFor(4 * time.Second)
+		if h.resets != 1 {
+			t.Errorf("announced to the balancer %t, to control %t: %d resets after a silence of 8 s, want 1", c.toBalancer, c.toControl, h.resets)
+		}
+	}
+}
+
 // TestPongRepeatsNumber checks that an agent's answer to a ping names the ping.
 func TestPongRepeatsNumber(t *testing.T) {
 	h := newGateHarness()
--- a/internal/crstate/lease.go
+++ b/internal/crstate/lease.go
@@ -13,6 +13,10 @@
 // may be queued that it has not handled yet.
 const maxCheckGap = time.Second
 
+// drainingLeaseFactor is how many times the usual duration the lease of a draining member
+// lasts.
+const drainingLeaseFactor = 4
+
 // Leases tracks the membership leases of the agents by name, on monotonic
 // time. It is kept in memory only, and only the leader uses it to expire members.
 type Leases struct {
@@ -40,19 +44,26 @@
 			delete(l.expiresAt, m.Name)
 			continue
 		}
-		l.Renew(m.Name, now)
+		l.Renew(m, now)
 	}
 }
 
-// Renew extends a lease to the full duration from now.
-func (l *Leases) Renew(name string, now time.Time) { l.expiresAt[name] = now.Add(l.Duration) }
+// Renew extends a member's lease to the full duration from now. A draining member may be
+// restarting, and can't renew its lease until it runs again.
+func (l *Leases) Renew(m crwire.Member, now time.Time) {
+	duration := l.Duration
+	if m.State == crwire.MemberDraining {
+		duration *= drainingLeaseFactor
+	}
+	l.expiresAt[m.Name] = now.Add(duration)
+}
 
 // GrantAll replaces all leases by a full lease for each member. A new leader
 // calls it because it did not receive the earlier renewals.
 func (l *Leases) GrantAll(members map[uint32]crwire.Member, now time.Time) {
 	clear(l.expiresAt)
 	for _, m := range members {
-		l.Renew(m.Name, now)
+		l.Renew(m, now)
 	}
 }
 
--- a/internal/crstate/lease_test.go
+++ b/internal/crstate/lease_test.go
@@ -37,13 +37,30 @@
 	l := crstate.NewLeases(3 * time.Second)
 	l.Apply([]crwire.Member{members[0], members[1]}, start)
 	before := expire(l, members, 0, 2*time.Second)
-	l.Renew("renewing", start.Add(2*time.Second))
+	l.Renew(members[1], start.Add(2*time.Second))
 	after := expire(l, members, 2*time.Second, 4*time.Second)
 	if diff := cmp.Diff([][]string{nil, {"silent"}}, [][]string{before, after}); diff != "" {
 		t.Errorf("expired before and after 2 s (-want +got):\n%s", diff)
 	}
 }
 
+// TestLeaseOfDrainingMemberLastsARestart guards against an agent that loses its membership,
+// and then its flows, while it is restarted as planned.
+func TestLeaseOfDrainingMemberLastsARestart(t *testing.T) {
+	members := newMembers("restarting", "silent")
+	l := crstate.NewLeases(3 * time.Second)
+	l.Apply([]crwire.Member{members[0], members[1]}, start)
+	expire(l, members, 0, time.Second)
+	restarting := members[0]
+	restarting.State = crwire.MemberDraining
+	members[0] = restarting
+	l.Apply([]crwire.Member{restarting}, start.Add(time.Second))
+	got := [][]string{expire(l, members, time.Second, 13*time.Second), expire(l, members, 13*time.Second, 14*time.Second)}
+	if diff := cmp.Diff([][]string{{"silent"}, {"restarting"}}, got); diff != "" {
+		t.Errorf("expired within 12 s and after (-want +got):\n%s", diff)
+	}
+}
+
 func TestNewLeaderGrantsAFullLease(t *testing.T) {
 	members := newMembers("a")
 	l := crstate.NewLeases(3 * time.Second)
