--- a/internal/crfeed/stale_test.go
+++ b/internal/crfeed/stale_test.go
@@ -37,7 +37,7 @@
 		}
 		_ = json.NewEncoder(w).Encode(crwire.Feed{Revision: 5, Snapshot: view(5)})
 	})
-	stale := serve(func(w http.ResponseWriter, r *http.Request) {
+	stale := serve(func(w http.ResponseWriter, _ *http.Request) {
 		<-hasView
 		_ = json.NewEncoder(w).Encode(crwire.Feed{Stale: true, Revision: 4, Snapshot: view(6)})
 		once.Do(func() { close(answered) })
