--- a/internal/cropaque/hints.go
+++ b/internal/cropaque/hints.go
@@ -23,9 +23,9 @@
 }
 
 // hints tells the agents of a flow's short list who owns it when its owner is no
-// longer on that list, because an agent has joined that ranks before the owner. So a
-// lookup that asks the short list finds every flow. Only the agents of the owner's own
-// zone can change places with it.
+// longer on that list, because an agent has joined that ranks before the owner. That saves
+// a lookup its second round of questions; it doesn't rest on hints, which are lost when an
+// agent is restarted. Only the agents of the owner's own zone can change places with it.
 type hints struct {
 	// members are the agents of the agent's own service.
 	members *serviceMembers
--- a/internal/cropaque/lookup.go
+++ b/internal/cropaque/lookup.go
@@ -34,15 +34,14 @@
 const (
 	// scopeOffered are the agents to which this balancer has offered the flow.
 	scopeOffered lookupScope = iota
-	// scopeShortList are the agents among which any balancer places the flow. They
+	// scopeShortList are the agents among which any balancer places the flow. They may
 	// know owners that agents that joined have pushed out of the list.
 	scopeShortList
 	// scopeRecent are the agents that may have been on the short list while flows of now
 	// were opened.
 	scopeRecent
-	// scopeAll are all agents of the services that may hold the flow. They are asked as the last
-	// resort, if the budget has plenty: an agent that is cut off from control may
-	// not know that it was pushed out.
+	// scopeAll are all agents of the services that may hold the flow. They are asked as
+	// the last resort, if the budget has plenty.
 	scopeAll
 )
 
--- a/internal/cropaque/shortlist.go
+++ b/internal/cropaque/shortlist.go
@@ -92,7 +92,7 @@
 		for _, r := range ranked {
 			first := r.peer.member.First
 			zones := countUpTo(firstOfZones, first)
-			if countUpTo(oldest, first) < perZone(zones) {
+			if countUpTo(oldest, first) < perZone(max(1, zones)) {
 				list = append(list, r.peer)
 			}
 			at, _ := slices.BinarySearch(oldest, r.peer.member.Since)
