--- a/internal/cropaque/budget.go
+++ b/internal/cropaque/budget.go
@@ -28,13 +28,13 @@
 }
 
 // take reports whether n frames may be sent, and counts them if so. Up to a second's
-// frames can be saved.
+// frames can be saved; more than these are sent at once if all are there.
 func (b *budget) take(now time.Time, n int) bool {
 	if b.perSecond == 0 {
 		return true
 	}
 	b.refill(now)
-	if b.tokens < float64(n) {
+	if b.tokens < min(float64(n), b.perSecond) {
 		return false
 	}
 	b.tokens -= float64(n)
--- a/internal/cropaque/lookup_test.go
+++ b/internal/cropaque/lookup_test.go
@@ -285,6 +285,27 @@
 	}
 }
 
+// TestLookupBeyondTheBudget guards against a flow whose owner is never looked up, because the
+// lookup needs more frames than the balancer may send in a second. It is sent when the whole
+// budget is there, and what it took beyond that is missing afterwards.
+func TestLookupBeyondTheBudget(t *testing.T) {
+	const perSecond = 10
+	h := newSteeringHarness(100, perSecond)
+	var questions []int
+	for i := range uint16(40) {
+		h.steering.HandlePacket(h.now, callerPacket(1024+i), []byte{1})
+		questions = append(questions, len(h.take(cropaque.FrameSeek)))
+		h.now = h.now.Add(100 * time.Millisecond)
+	}
+	asked, total := questions[0], 0
+	for _, n := range questions {
+		total += n
+	}
+	if asked != maxShortListQuestions || total > 5*perSecond || total < 3*perSecond {
+		t.Errorf("%d questions for the first flow and %d in 4 s, want %d and %d to %d", asked, total, maxShortListQuestions, 3*perSecond, 5*perSecond)
+	}
+}
+
 // TestPossibleOwnersAreTriedOnce guards against a packet that goes round between
 // agents that may own its flow, each of which returns it, without another packet of
 // the caller: 2,988 frames a second for 91 packets of callers on one balancer of the
