--- a/internal/cropaque/recentlist_test.go
+++ b/internal/cropaque/recentlist_test.go
@@ -113,3 +113,35 @@
 		t.Errorf("%d questions after one agent joined in each zone, want 12 to 15", n)
 	}
 }
+
+// BenchmarkLookup measures a lookup without an owner on a service whose members are settled,
+// and on one whose members have all joined lately, with its questions.
+func BenchmarkLookup(b *testing.B) {
+	for _, agents := range []int{100, 1000, 10_000} {
+		for _, settled := range []bool{true, false} {
+			b.Run(fmt.Sprintf("agents=%d/settled=%t", agents, settled), func(b *testing.B) {
+				h := newSteeringHarness(1, 0)
+				v := viewOf(2, agents)
+				for num, m := range v.Members {
+					if !settled {
+						m.Since, m.First = uint64(num), uint64(num)
+						v.Members[num] = m
+					}
+				}
+				h.steering.SetView(h.now, v)
+				questions := 0
+				for i := 0; b.Loop(); i++ {
+					p := callerPacket(uint16(1024 + i%60_000))
+					h.steering.HandlePacket(h.now, p, []byte{1})
+					for asked := h.take(cropaque.FrameSeek); len(asked) > 0; asked = h.take(cropaque.FrameSeek) {
+						questions += len(asked)
+						for _, a := range asked {
+							h.answer(a, cropaque.FrameForeign, p, nil)
+						}
+					}
+				}
+				b.ReportMetric(float64(questions)/float64(b.N), "questions/flow")
+			})
+		}
+	}
+}
--- a/internal/cropaque/shortlist.go
+++ b/internal/cropaque/shortlist.go
@@ -21,6 +21,8 @@
 	// zones holds the agents of each availability zone, in the order in which the
 	// zones were first met.
 	zones [][]*peer
+	// history is what recentList needs; it is made when it is first needed.
+	history *memberHistory
 }
 
 // addMember adds an agent to the members of its service.
@@ -69,58 +71,6 @@
 	return max(minShortListPerZone, (minShortList+zones-1)/max(1, zones))
 }
 
-// recentList returns the agents that may have been on a flow's short list at any moment
-// since the flow was opened. An agent was off the list all the time only if enough others
-// of its zone that rank before it have been members since before it came.
-func (m *serviceMembers) recentList(key Key) []*peer {
-	if m == nil {
-		return nil
-	}
-	hash := flowHash(key)
-	firstOfZones := m.sinceOfZones()
-	var list []*peer
-	var ranked []rankedPeer
-	for _, peers := range m.zones {
-		ranked = ranked[:0]
-		for _, p := range peers {
-			ranked = append(ranked, rankedPeer{p, crroute.Uniform(hash, p.member.Num)})
-		}
-		slices.SortFunc(ranked, func(a, b rankedPeer) int { return cmp.Compare(b.rank, a.rank) })
-		// oldest are the lowest revisions since which agents that rank before are
-		// members, ascending.
-		var oldest []uint64
-		for _, r := range ranked {
-			first := r.peer.member.First
-			zones := countUpTo(firstOfZones, first)
-			if countUpTo(oldest, first) < perZone(max(1, zones)) {
-				list = append(list, r.peer)
-			}
-			at, _ := slices.BinarySearch(oldest, r.peer.member.Since)
-			oldest = slices.Insert(oldest, at, r.peer.member.Since)
-			oldest = oldest[:min(len(oldest), minShortList)]
-		}
-	}
-	return list
-}
-
-// sinceOfZones returns for each zone the lowest revision since which it has had an agent,
-// ascending.
-func (m *serviceMembers) sinceOfZones() []uint64 {
-	out := make([]uint64, 0, len(m.zones))
-	for _, peers := range m.zones {
-		oldest := slices.MinFunc(peers, func(a, b *peer) int { return cmp.Compare(a.member.Since, b.member.Since) })
-		out = append(out, oldest.member.Since)
-	}
-	slices.Sort(out)
-	return out
-}
-
-// countUpTo returns how many revisions of an ascending list are at most the given one.
-func countUpTo(list []uint64, revision uint64) int {
-	n, _ := slices.BinarySearch(list, revision+1)
-	return n
-}
-
 // zoneShortList returns the agents of one zone in a flow's short list.
 func (m *serviceMembers) zoneShortList(key Key, zone string) []*peer {
 	for _, peers := range m.zones {
