--- a/internal/crobs/output_test.go
+++ b/internal/crobs/output_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -119,21 +120,11 @@
 		t.Errorf("%d of %d status lines in order, %d lines of %d B written, dropped %v", status, statusLines, written, total, dropped)
 	}
 	// The line about the drops follows the first lines that were read.
-	if i := indexOf(messages, about); i < 0 || i > len(messages)/2 {
+	if i := slices.Index(messages, about); i < 0 || i > len(messages)/2 {
 		t.Errorf("the line about dropped lines is number %d of %d, with %v last", i, len(messages), last)
 	}
 }
 
-// indexOf returns the first place of a message, -1 if it isn't there.
-func indexOf(messages []string, message string) int {
-	for i, m := range messages {
-		if m == message {
-			return i
-		}
-	}
-	return -1
-}
-
 // TestStatusLinesOfAHeldOutputAreBounded checks that lines which aren't routine are dropped,
 // too, once no routine ones are left.
 func TestStatusLinesOfAHeldOutputAreBounded(t *testing.T) {
--- a/internal/cropaque/movedroute_test.go
+++ b/internal/cropaque/movedroute_test.go
@@ -81,6 +81,13 @@
 	return h
 }
 
+// open opens a flow by the state in force and returns a packet of it and its owner.
+func (fleet *movedRouteFleet) open() (cropaque.Packet, netip.AddrPort) {
+	placing, p := newBalancerOf(fleet.state), callerPacket(1024)
+	placing.steering.HandlePacket(placing.now, cropaque.Packet{From: p.From, To: p.To, Open: true, Seq: 7}, []byte{1})
+	return p, placing.take(cropaque.FrameOffer)[0]
+}
+
 // TestOwnerAfterItsRouteMoved guards against the reset of an open flow whose route was
 // moved to another service: a balancer that didn't know the flow asked the agents of the
 // new service only.
@@ -104,10 +111,7 @@
 		t.Run(name, func(t *testing.T) {
 			fleet := newMovedRouteFleet()
 			fleet.apply(t, share("ledger", 1))
-			placing := newBalancerOf(fleet.state)
-			p := callerPacket(1024)
-			placing.steering.HandlePacket(placing.now, cropaque.Packet{From: p.From, To: p.To, Open: true, Seq: 7}, []byte{1})
-			owner := placing.take(cropaque.FrameOffer)[0]
+			p, owner := fleet.open()
 			for _, shares := range c.catalogs {
 				fleet.apply(t, shares...)
 				if c.restart {
@@ -143,10 +147,7 @@
 func TestRouteMovesDuringLookup(t *testing.T) {
 	fleet := newMovedRouteFleet()
 	fleet.apply(t, share("ledger", 1))
-	placing := newBalancerOf(fleet.state)
-	p := callerPacket(1024)
-	placing.steering.HandlePacket(placing.now, cropaque.Packet{From: p.From, To: p.To, Open: true, Seq: 7}, []byte{1})
-	owner := placing.take(cropaque.FrameOffer)[0]
+	p, owner := fleet.open()
 
 	h := newBalancerOf(fleet.state)
 	h.steering.HandlePacket(h.now, p, []byte{1})
