--- a/review/standin2/host.go
+++ b/review/standin2/host.go
@@ -47,10 +47,15 @@
 	// runs counts the requests by their Attempt-Id; returned the packets given back.
 	runs     map[string]int
 	returned int
+	// stray and own hold when packets of flows came that the host doesn't hold, and
+	// that it does.
+	stray, own map[netip.AddrPort][]time.Time
 }
 
 // newHost returns a host that isn't started.
-func newHost(f *fleet, m *machine) *host { return &host{f: f, m: m, runs: map[string]int{}} }
+func newHost(f *fleet, m *machine) *host {
+	return &host{f: f, m: m, runs: map[string]int{}, stray: map[netip.AddrPort][]time.Time{}, own: map[netip.AddrPort][]time.Time{}}
+}
 
 // start starts an incarnation of the host.
 func (h *host) start() error {
@@ -163,6 +168,7 @@
 		}
 	case fl == nil || !fl.open && p.ack != fl.seq+1:
 		h.returned++
+		h.stray[p.src] = append(h.stray[p.src], time.Now())
 		data[24] |= flagBounced
 		data[25] = 0
 		h.send(conn, data)
@@ -173,6 +179,7 @@
 
 // handleOpen handles a packet of a flow that the host holds.
 func (h *host) handleOpen(conn *net.UDPConn, fl *hostFlow, p packet) {
+	h.own[p.src] = append(h.own[p.src], time.Now())
 	if !fl.open {
 		fl.open, fl.openedAt = true, time.Now()
 		fl.seq++
--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -22,7 +22,7 @@
 	"first-start":   playFirstStart,
 	"replaced-core": playReplacedCore,
 	"crashed-host":  playCrashedHost,
-	"lost-founder":  playLostFounder,
+	"rolled-agents": playRolledAgents,
 }
 
 func main() {
--- a/review/standin2/replacedcore.go
+++ b/review/standin2/replacedcore.go
@@ -48,8 +48,10 @@
 		}
 		caughtUp := time.Now().Add(catchUpTime)
 		time.Sleep(plannedLead)
-		core[0].stop()
-		f.note("%s is gone for good", core[0].name)
+		go func() {
+			core[0].stop()
+			f.note("%s is gone for good", core[0].name)
+		}()
 		running = []*machine{core[1], core[2], successor}
 		op.list, op.next = running, 0
 		time.Sleep(time.Until(caughtUp))
