--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,4 +3,4 @@
 # network; the programs under test come from the build of the deploy file.
 set -euo pipefail
 cd "$(dirname "$0")/standin2"
-GOWORK=off GOFLAGS=-mod=mod GOPROXY=off CGO_ENABLED=0 go build -o ../../target/review-standin2 .
+GOWORK=off GOFLAGS=-mod=mod GOPROXY=off GOTOOLCHAIN=local CGO_ENABLED=0 go build -o ../../target/review-standin2 .
