crvoters, crcontrol: a replaced control instance doesn't count towards the quorum

What callers saw: a control instance is replaced as planned; as soon as its successor has caught up another instance loses its disk.

Cause: the successor became a fourth voter, so the quorum was three. The retired instance stayed a voter until it had been silent for 2.5 s, each new leader began that wait anew, and a stop told nobody. With it gone and one disk lost two of four voters are left, and no leader can be elected that would remove either of the others. The invariant "when a successor has caught up, the loss of as many further disks as the settings name leaves a quorum" had no keeper.

Change: the leader decides which instances vote (internal/crvoters, pure). Where more instances answer than the settings need, an odd number votes; the spare is the oldest in the zone of the newest, so the one that a planned replacement retires. An instance that is stopped resigns first, if the others suffice. A spare votes in place of a voter that is silent for 0.5 s; one that is silent for 1 s is demoted while enough vote, and an instance without a vote is removed after 2.5 s. Members name their zone and since when they are members. Each change of the voters is logged and counted.

TestGroupFromSeeds expected a fourth instance to vote; it expects the three that vote and the four that are members now, and stops one instance more.

Evidence: TestDiskLostAfterReplacement plays 15 cases with real processes (stopped, killed, also 0.2 s before the disk is lost, the leader, the other order, another zone, the successor's own disk, restarts in between, two in a row). TestEachChangeBearsLosses: 200,000 groups.

--- a/internal/crcontrol/control.go
+++ b/internal/crcontrol/control.go
@@ -34,9 +34,9 @@
 	forwardTimeout = 3 * time.Second
 	// maxBodyBytes bounds the body of a call.
 	maxBodyBytes = 8 << 20
-	// stopTimeout bounds a graceful stop. A leader may take another second to
-	// hand over leadership. The sum is below 5 s, which is less than platforms
-	// allow for a stop.
+	// stopTimeout bounds a graceful stop. An instance may take another second to give
+	// up its vote, and a leader one to hand over leadership. The sum is 5 s, which is
+	// less than platforms allow for a stop.
 	stopTimeout = 3 * time.Second
 )
 
@@ -54,8 +54,8 @@
 	// instance that is not a voter requests admission from them.
 	Peers func() []string
 	// FaultTolerance is how many disks may be lost at once. The first catalog
-	// waits for 2*FaultTolerance+1 voters. An unreachable voter is removed only
-	// while that many others, and at least three, are reachable.
+	// waits for 2*FaultTolerance+1 voters. The vote of an instance that is silent or
+	// stops is taken only while that many others, and at least three, vote.
 	FaultTolerance int
 	// FlowLifetime is the greatest age of an open flow of opaque services; 0 means an
 	// hour. For this long the state keeps which services a route led to and when agents
@@ -72,10 +72,16 @@
 	metrics *metrics
 	// followers are the daemons that poll the feed of this instance.
 	followers *followers
-	// state, leases and prevStatus are accessed only in the replica's goroutine.
+	// state, leases, prevStatus and resignedAt are accessed only in the replica's
+	// goroutine.
 	state      *crstate.State
 	leases     *crstate.Leases
 	prevStatus crreplica.Status
+	// resignedAt is when instances said that they stop, on the clock of crclock. The
+	// leader uses it.
+	resignedAt map[uint64]time.Duration
+	// resigning is set when this instance begins a planned stop.
+	resigning atomic.Bool
 	// startedAt is the start time on the clock of crclock.
 	startedAt time.Duration
 	// provisionalView is the view of the state that was on disk at the start. It
@@ -99,7 +105,7 @@
 // Run serves until ctx is cancelled, then stops gracefully. It returns early if
 // the replica's disk fails.
 func (c *Control) Run(ctx context.Context) error {
-	runCtx, cancel := context.WithCancel(ctx)
+	runCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	c.runCtx = runCtx
 	if err := c.setup(); err != nil {
@@ -124,6 +130,7 @@
 	var replicaErr error
 	select {
 	case <-ctx.Done():
+		c.resign()
 	case replicaErr = <-c.replicaErr:
 	}
 	cancel()
@@ -152,6 +159,7 @@
 	c.metrics = newMetrics(c.Registry)
 	c.followers = newFollowers()
 	c.leases = crstate.NewLeases(c.leaseDuration())
+	c.resignedAt = map[uint64]time.Duration{}
 	c.client = &crnet.Client{TLS: tlsConfig}
 	c.client.Open()
 	c.replicaErr = make(chan error, 1)
@@ -159,7 +167,7 @@
 	c.claims = newBatcher(c.claimKeys)
 	c.settles = newBatcher(c.recordOutcomes)
 	c.replica = &crreplica.Replica{
-		Settings: c.Settings.Replica, Client: c.client,
+		Settings: c.Settings.Replica, Zone: c.Settings.Zone, Client: c.client,
 		Apply: c.apply, Snapshot: c.snapshot, Restore: c.restore, StatusChanged: c.statusChanged,
 		Registry: c.Registry, Logf: c.Logf, TickInterval: c.TickInterval, ElectionTicks: c.ElectionTicks,
 	}
@@ -175,6 +183,7 @@
 	c.loops.Go(func() { c.settles.loop(c.runCtx) })
 	if c.Settings.Replica.Address != "" {
 		c.loops.Go(c.admissionLoop)
+		c.loops.Go(c.voterLoop)
 	}
 }
 
@@ -185,8 +194,8 @@
 	}
 }
 
-// loop removes agents with expired leases, history whose time has passed, and unreachable
-// voters until the instance stops.
+// loop removes agents with expired leases and history whose time has passed until the
+// instance stops.
 func (c *Control) loop() {
 	ticker := time.NewTicker(leaseCheckInterval)
 	defer ticker.Stop()
@@ -195,9 +204,6 @@
 		case <-ticker.C:
 			c.expireLeases()
 			c.expireHistory()
-			if c.Settings.Replica.Address != "" {
-				c.removeUnreachableVoter()
-			}
 		case <-c.runCtx.Done():
 			return
 		}
@@ -225,6 +231,7 @@
 		"POST " + pathClaimBatch:    c.serveClaimBatch,
 		"POST " + pathSettleBatch:   c.serveSettleBatch,
 		"POST " + PathAdmit:         c.serveAdmit,
+		"POST " + pathResign:        c.serveResign,
 		"POST " + PathCatalog:       c.serveCatalog,
 		"/quorum/":                  c.replica.Routes().ServeHTTP,
 	} {
--- a/internal/crcontrol/metrics.go
+++ b/internal/crcontrol/metrics.go
@@ -18,10 +18,12 @@
 	skippedEntries prometheus.Counter
 	// failedAdmissions counts the failed admission requests of this instance.
 	failedAdmissions prometheus.Counter
-	agents           prometheus.Gauge
-	leading          prometheus.Gauge
-	fresh            prometheus.Gauge
-	term             prometheus.Gauge
+	// memberChanges counts the changes of the voters that this instance made as leader.
+	memberChanges *prometheus.CounterVec
+	agents        prometheus.Gauge
+	leading       prometheus.Gauge
+	fresh         prometheus.Gauge
+	term          prometheus.Gauge
 }
 
 // newMetrics creates and registers the metrics.
@@ -36,12 +38,13 @@
 		deniedCalls:      newCounter("denied_total", "Calls refused for their credentials."),
 		skippedEntries:   newCounter("entries_skipped_total", "Entries of the log that could not be read."),
 		failedAdmissions: newCounter("admissions_failed_total", "Requests to be admitted that failed."),
+		memberChanges:    newCounterVec("member_changes_total", "Changes of the voters that this instance made as leader, by kind.", "kind"),
 		agents:           newGauge("agents", "Agents that hold a lease."),
 		leading:          newGauge("leading", "1 while this instance leads."),
 		fresh:            newGauge("fresh", "1 while this instance has contact with the quorum."),
 		term:             newGauge("term", "The current term."),
 	}
-	r.MustRegister(m.changes, m.claims, m.feedAnswers, m.feedBytes, m.renewals, m.expiredLeases, m.deniedCalls, m.skippedEntries, m.failedAdmissions,
+	r.MustRegister(m.changes, m.claims, m.feedAnswers, m.feedBytes, m.renewals, m.expiredLeases, m.deniedCalls, m.skippedEntries, m.failedAdmissions, m.memberChanges,
 		m.agents, m.leading, m.fresh, m.term)
 	return m
 }
--- a/internal/crquorum/bootstrap.go
+++ b/internal/crquorum/bootstrap.go
@@ -89,7 +89,7 @@
 	for id, addr := range n.InitialMembers {
 		c.Members[id] = Member{Addr: addr, Incarnation: n.pledges[id]}
 	}
-	c.Members[n.ID] = Member{Addr: n.InitialMembers[n.ID], Incarnation: n.Incarnation}
+	c.Members[n.ID] = Member{Addr: n.InitialMembers[n.ID], Incarnation: n.Incarnation, Zone: n.Zone}
 	n.hardState.Cluster = n.Incarnation
 	n.becomeFollower(n.hardState.Term+1, 0)
 	n.appendEntry(EntryConfig, c.Encode())
--- a/internal/crquorum/change.go
+++ b/internal/crquorum/change.go
@@ -28,13 +28,29 @@
 	if err := n.checkCanChange(); err != nil {
 		return 0, 0, err
 	}
-	if m, ok := n.log.config().Members[id]; ok {
-		if m.Addr == addr {
-			return n.log.configIndex(), n.hardState.Term, nil
-		}
+	m, ok := n.log.config().Members[id]
+	if ok && m.Addr != addr {
 		return 0, 0, fmt.Errorf("instance %d is a member at %s", id, m.Addr)
 	}
-	return n.appendConfig(n.log.config().with(id, Member{Addr: addr, Role: RoleLearner}))
+	return n.Admit(id, addr, m.Zone)
+}
+
+// Admit adds an instance as a learner. A member keeps its role and gets the address
+// and the zone: a voter that returns at another address with its disk still has all
+// that it has acknowledged, and one with another disk is demoted by adjustRole.
+func (n *Node) Admit(id uint64, addr, zone string) (index, term uint64, err error) {
+	if err := n.checkCanChange(); err != nil {
+		return 0, 0, err
+	}
+	m, ok := n.log.config().Members[id]
+	if ok && m.Addr == addr && m.Zone == zone {
+		return n.log.configIndex(), n.hardState.Term, nil
+	}
+	if !ok {
+		m = Member{Role: RoleLearner, Since: n.log.last() + 1}
+	}
+	m.Addr, m.Zone = addr, zone
+	return n.appendConfig(n.log.config().with(id, m))
 }
 
 // Promote marks a learner for promotion to voter as soon as it has all committed
@@ -54,22 +70,24 @@
 	return n.appendConfig(n.log.config().with(id, m))
 }
 
-// Readdress changes the address of an instance. The instance keeps its role: a voter
-// that returns at another address with its disk still has all that it has
-// acknowledged, and one with another disk is demoted by adjustRole.
-func (n *Node) Readdress(id uint64, addr string) (index, term uint64, err error) {
+// Demote takes the vote from an instance, which stays a learner.
+func (n *Node) Demote(id uint64) (index, term uint64, err error) {
 	if err := n.checkCanChange(); err != nil {
 		return 0, 0, err
 	}
-	m, ok := n.log.config().Members[id]
+	config := n.log.config()
+	m, ok := config.Members[id]
 	if !ok {
 		return 0, 0, fmt.Errorf("instance %d is not a member", id)
 	}
-	if m.Addr == addr {
+	if m.Role == RoleLearner {
 		return n.log.configIndex(), n.hardState.Term, nil
 	}
-	m.Addr = addr
-	return n.appendConfig(n.log.config().with(id, m))
+	if m.Role == RoleVoter && config.VoterCount() == 1 {
+		return 0, 0, fmt.Errorf("instance %d is the last voter", id)
+	}
+	m.Role, m.Incarnation = RoleLearner, 0
+	return n.appendConfig(config.with(id, m))
 }
 
 // Remove removes an instance. A leader that removes itself steps down once the
--- a/internal/crquorum/config.go
+++ b/internal/crquorum/config.go
@@ -25,6 +25,11 @@
 	// Addr is the host:port of the instance.
 	Addr string `json:"addr"`
 	Role Role   `json:"role,omitempty"`
+	// Zone is the availability zone of the instance, empty if unknown.
+	Zone string `json:"zone,omitempty"`
+	// Since is the index of the entry that added the instance, 0 for an initial
+	// member. It orders the members by their age.
+	Since uint64 `json:"since,omitempty"`
 	// Incarnation identifies the disk whose votes and acknowledgements are
 	// valid. Never 0 for a voter.
 	Incarnation uint64 `json:"life,omitempty"`
--- a/internal/crquorum/inspect.go
+++ b/internal/crquorum/inspect.go
@@ -1,15 +1,27 @@
 package crquorum
 
-// TicksSinceContact returns for each member the ticks since the leader sent the
-// newest message that the member has responded to, limited to the ticks since
-// this instance became leader. It returns nil if this instance isn't the leader.
-func (n *Node) TicksSinceContact() map[uint64]uint64 {
+// Contact is what the leader knows about the connection to a member.
+type Contact struct {
+	// Silence is the number of ticks since the leader sent the newest message that the
+	// member has responded to, limited to those since this instance became leader and
+	// since it added the member.
+	Silence uint64
+	// Answered is set if the member has responded to this leader, or was added by it.
+	Answered bool
+}
+
+// Contacts returns the contact to each member. It returns nil if this instance isn't
+// the leader.
+func (n *Node) Contacts() map[uint64]Contact {
 	if n.phase != phaseLeader {
 		return nil
 	}
-	out := map[uint64]uint64{n.ID: 0}
+	out := map[uint64]Contact{n.ID: {Answered: true}}
 	for id, p := range n.peers {
-		out[id] = n.now - min(n.now, max(p.lastAckedAt, n.leaderSince))
+		out[id] = Contact{
+			Silence:  n.now - min(n.now, max(p.lastAckedAt, p.trackedSince)),
+			Answered: p.answered,
+		}
 	}
 	return out
 }
--- a/internal/crquorum/replicate.go
+++ b/internal/crquorum/replicate.go
@@ -22,6 +22,10 @@
 	// lastAckedAt is the send time of the newest message that the instance has
 	// responded to.
 	lastAckedAt uint64
+	// trackedSince is when this instance became leader or added the member.
+	trackedSince uint64
+	// answered is set if the instance has responded to this leader, or was added by it.
+	answered bool
 	// probing is set until the logs are known to match at next-1. Meanwhile
 	// the leader sends one append at a time.
 	probing bool
@@ -117,10 +121,10 @@
 		return
 	}
 	if p.incarnation != m.Incarnation {
-		*p = progress{incarnation: m.Incarnation, next: n.log.last() + 1, probing: true}
+		*p = progress{incarnation: m.Incarnation, next: n.log.last() + 1, probing: true, trackedSince: p.trackedSince, answered: p.answered}
 	}
 	if m.Echo >= n.leaderSince && m.Echo <= n.now {
-		p.lastAckedAt = max(p.lastAckedAt, m.Echo)
+		p.lastAckedAt, p.answered = max(p.lastAckedAt, m.Echo), true
 	}
 	if m.Reject {
 		n.decreaseNext(m, p)
--- a/internal/crreplica/propose.go
+++ b/internal/crreplica/propose.go
@@ -48,9 +48,17 @@
 	return err
 }
 
-// Readdress changes the host:port of an instance, which keeps its role.
-func (r *Replica) Readdress(ctx context.Context, id uint64, addr string) error {
-	_, err := r.propose(ctx, func() (index, term uint64, err error) { return r.node.Readdress(id, addr) })
+// Admit adds an instance as a learner. A member keeps its role and gets the address
+// and the zone.
+func (r *Replica) Admit(ctx context.Context, id uint64, addr, zone string) error {
+	_, err := r.propose(ctx, func() (index, term uint64, err error) { return r.node.Admit(id, addr, zone) })
+	return err
+}
+
+// ChangeMembers calls change in the replica's goroutine and waits until the entry that
+// it appended is applied. An index of 0 means that it appended none.
+func (r *Replica) ChangeMembers(ctx context.Context, change func(n *crquorum.Node) (index, term uint64, err error)) error {
+	_, err := r.propose(ctx, func() (index, term uint64, err error) { return change(r.node) })
 	return err
 }
 
--- a/internal/crreplica/replica.go
+++ b/internal/crreplica/replica.go
@@ -58,6 +58,8 @@
 type Replica struct {
 	// Settings contain the members and the path of the data folder.
 	Settings *crdoc.Replica
+	// Zone is the availability zone of the instance, empty if unknown.
+	Zone string
 	// Client calls the other instances.
 	Client *crnet.Client
 	// Apply applies the data of a committed entry to the state machine. It
--- a/internal/crwire/admit.go
+++ b/internal/crwire/admit.go
@@ -7,6 +7,8 @@
 	ID uint64 `json:"id"`
 	// Address is the instance's host:port.
 	Address string `json:"address"`
+	// Zone is the instance's availability zone, empty if unknown.
+	Zone string `json:"zone,omitempty"`
 	// Forwarded is true if another instance forwarded the request to the one
 	// that it considers the leader. A forwarded request is not forwarded again.
 	Forwarded bool `json:"passed,omitempty"`
@@ -18,6 +20,22 @@
 	Voting bool `json:"voting"`
 }
 
+// Resign is a request to the leader to take the vote from an instance that is about to
+// stop: POST /leader/resignations.
+type Resign struct {
+	// ID is the instance's number.
+	ID uint64 `json:"id"`
+}
+
+// ResignResponse is the response to Resign.
+type ResignResponse struct {
+	// Voting is true if the instance still has a vote.
+	Voting bool `json:"voting"`
+	// Needed is true if the other instances don't suffice for the stated loss of disks.
+	// The instance keeps its vote then.
+	Needed bool `json:"needed"`
+}
+
 // StoredCatalog is the response to POST /catalog: the catalog in the text that
 // the operator submitted.
 type StoredCatalog struct {
