crquorum, crstore, crcontrol: a majority founds the group at the first start

Cause: only that instance could found the group, and only while its settings said that the whole system starts for the first time, which is true of its first process alone. It founded a group of one and admitted the others, so that until three voted its disk was the group. The invariant "the founding survives the loss of any one instance at any moment, and two groups are never founded" had no keeper.

Change: at the first start each instance that the settings name begins its log with the same configuration, in which all of them vote, and a majority elects the first leader. The first disks have a known incarnation, a disk that replaces a lost one a random one, and its instance is told that it isn't the first start. The first frame of a log holds all of it, so that a killed process leaves all or nothing.

--- a/cmd/crnode/roles.go
+++ b/cmd/crnode/roles.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/rand"
 	"encoding/binary"
+	"net"
 	"net/netip"
 	"time"
 
@@ -127,6 +128,7 @@
 		Settings: p.controlSettings(), Ready: func(addr string) { p.logger.WithField("addr", addr).Info("listening") },
 		Registry: p.registry, Logf: p.logger.Infof, Peers: func() []string { return *p.controls.Load() },
 		FaultTolerance: p.settings.FaultTolerance.Machines, TickInterval: tickInterval, ElectionTicks: electionTicks,
+		FirstStart:   p.settings.Bootstrap,
 		FlowLifetime: time.Duration(p.settings.Bounds.FlowMaxS * float64(time.Second)),
 	}
 	api.Submit, api.Catalog = c.Submit, c.Catalog
@@ -140,8 +142,10 @@
 		ID: instanceID(s.IP), Listen: s.InternalAddrAt(p.bindIP), DataDir: s.DataDir, Address: s.InternalAddr(), Lease: crdoc.Duration(leaseTime),
 		Members: map[uint64]string{},
 	}
-	if s.Bootstrap && crcontrol.IsFounder(s.InternalAddr(), s.ControlAddrs()) {
-		r.Members[r.ID] = s.InternalAddr()
+	for _, addr := range s.ControlAddrs() {
+		if host, _, err := net.SplitHostPort(addr); s.Bootstrap && err == nil {
+			r.Members[instanceID(host)] = addr
+		}
 	}
 	return &crdoc.Settings{Name: s.Name, Zone: s.Zone, Zones: s.ZoneNames(), Control: s.ControlAddrs(), Replica: r}
 }
--- a/internal/crcontrol/admission.go
+++ b/internal/crcontrol/admission.go
@@ -43,14 +43,6 @@
 	return out
 }
 
-// IsFounder reports whether the instance at address self creates the group when
-// the whole system starts for the first time. All instances are configured with
-// the same known addresses, and the one with the lowest address is the founder.
-// The founder admits the others.
-func IsFounder(self string, known []string) bool {
-	return len(known) > 0 && self == slices.Min(known)
-}
-
 // checkVoterCount rejects the first catalog while a new group has too few voters
 // for FaultTolerance, because what a group of one or two voters acknowledges can be
 // lost with one disk. After maxGrowthWait it accepts the catalog, because the
--- a/internal/crcontrol/admission_test.go
+++ b/internal/crcontrol/admission_test.go
@@ -67,19 +67,21 @@
 }
 
 // start runs an instance. If firstStart is set, the whole system starts for the
-// first time and the founder creates the group.
+// first time and the instances with the seed addresses found the group.
 func (g *group) start(id uint64, addr, data string, firstStart bool) *node {
 	g.tb.Helper()
 	replica := &crdoc.Replica{ID: id, Listen: addr, Address: addr, DataDir: data, Members: map[uint64]string{}}
-	if firstStart && crcontrol.IsFounder(addr, g.seeds) {
-		replica.Members[id] = addr
+	for i, seed := range g.seeds {
+		if firstStart {
+			replica.Members[uint64(i+1)] = seed
+		}
 	}
 	ready := make(chan string, 1)
 	n := &node{addr: addr, data: data}
 	n.Control = &crcontrol.Control{
 		Settings: &crdoc.Settings{Name: fmt.Sprint("control-", id), Zone: "z1", Zones: []string{"z1"}, Replica: replica},
 		Ready:    func(addr string) { ready <- addr }, Registry: prometheus.NewRegistry(), Logf: func(string, ...any) {},
-		Peers: func() []string { return g.seeds }, FaultTolerance: 1, TickInterval: 10 * time.Millisecond, ElectionTicks: 20,
+		Peers: func() []string { return g.seeds }, FirstStart: firstStart, FaultTolerance: 1, TickInterval: 10 * time.Millisecond, ElectionTicks: 20,
 	}
 	if g.single {
 		n.FaultTolerance = 0
@@ -190,8 +192,6 @@
 	for range 5 {
 		addrs = append(addrs, freeAddr(t))
 	}
-	// The first one is the founder, and so the oldest.
-	slices.Sort(addrs)
 	g.seeds = addrs[:3]
 	dir := t.TempDir()
 	dataDir := func(name string) string { return filepath.Join(dir, name) }
--- a/internal/crcontrol/control.go
+++ b/internal/crcontrol/control.go
@@ -53,8 +53,12 @@
 	// Peers returns the host:port of instances that may know the group. An
 	// instance that is not a voter requests admission from them.
 	Peers func() []string
-	// FaultTolerance is how many disks may be lost at once. The first catalog
-	// waits for 2*FaultTolerance+1 voters. The vote of an instance that is silent or
+	// FirstStart is true only when the whole system starts for the first time, with
+	// empty disks. The members of Settings.Replica found the group then, of which a
+	// majority is enough. All of them must name the same members.
+	FirstStart bool
+	// FaultTolerance is how many disks may be lost at once. The first
+	// catalog waits for 2*FaultTolerance+1 voters. The vote of an instance that is silent or
 	// stops is taken only while that many others, and at least three, vote.
 	FaultTolerance int
 	// FlowLifetime is the greatest age of an open flow of opaque services; 0 means an
@@ -167,7 +171,7 @@
 	c.claims = newBatcher(c.claimKeys)
 	c.settles = newBatcher(c.recordOutcomes)
 	c.replica = &crreplica.Replica{
-		Settings: c.Settings.Replica, Zone: c.Settings.Zone, Client: c.client,
+		Settings: c.Settings.Replica, Zone: c.Settings.Zone, FirstStart: c.FirstStart, Client: c.client,
 		Apply: c.apply, Snapshot: c.snapshot, Restore: c.restore, StatusChanged: c.statusChanged,
 		Registry: c.Registry, Logf: c.Logf, TickInterval: c.TickInterval, ElectionTicks: c.ElectionTicks,
 	}
--- a/internal/crquorum/message.go
+++ b/internal/crquorum/message.go
@@ -29,8 +29,9 @@
 	// Vote is the ID of the candidate voted for in Term, 0 for none.
 	Vote uint64
 	// Cluster identifies the cluster that this instance belongs to. It is the
-	// incarnation of the disk of the instance that bootstrapped the cluster,
-	// 0 while unknown, and doesn't change once the log has an entry.
+	// incarnation of the disk of the instance that bootstrapped the cluster, or
+	// follows from the initial members of a first start. It is 0 while unknown, and
+	// doesn't change once the log has an entry.
 	Cluster uint64
 }
 
--- a/internal/crquorum/node.go
+++ b/internal/crquorum/node.go
@@ -34,7 +34,7 @@
 	Incarnation uint64
 	// InitialMembers maps the ID of each initial instance to its host:port.
 	// The instance with the lowest ID bootstraps the cluster once all others
-	// have pledged to join it.
+	// have pledged to join it. It isn't needed if the disk holds a FirstState.
 	InitialMembers map[uint64]string
 	// Zone is the availability zone of this instance, empty if unknown. A new
 	// cluster's configuration names it.
@@ -111,6 +111,10 @@
 	n.now = minClockStart + n.Rand(minClockStart)
 	n.lastLeaderContact, n.clusterJoinedAt = n.now, n.now
 	n.becomeFollower(n.hardState.Term, 0)
+	if n.isBeforeFirstElection() {
+		// No leader's lease can depend on this instance.
+		n.lastLeaderContact = n.now - n.ElectionTicks
+	}
 	if c := n.log.config(); c.VoterCount() == 1 && c.IsVoter(n.ID, n.Incarnation) {
 		n.deadline = n.now
 	}
@@ -156,7 +160,7 @@
 // resetDeadline sets a new random election timeout.
 func (n *Node) resetDeadline() {
 	n.deadline = n.now + n.ElectionTicks + n.Rand(n.ElectionTicks)
-	if n.isLogEmpty() {
+	if n.isLogEmpty() || n.isBeforeFirstElection() && n.hasLowestID() {
 		n.deadline = n.now + n.HeartbeatTicks
 	}
 }
--- a/internal/crreplica/diskfull.go
+++ b/internal/crreplica/diskfull.go
@@ -84,7 +84,7 @@
 	}
 	r.driver = &Driver{
 		Node:              r.node,
-		Store:             &crstore.Store{Folder: r.withSyncMetrics(r.Folder), Rand: newIncarnation},
+		Store:             r.newStore(),
 		Send:              r.send,
 		Apply:             r.apply,
 		Snapshot:          r.Snapshot,
@@ -93,6 +93,16 @@
 	}
 }
 
+// newStore returns the store of the data folder. At the first start of the whole system
+// an initial member's store begins with the first configuration.
+func (r *Replica) newStore() *crstore.Store {
+	s := &crstore.Store{Folder: r.withSyncMetrics(r.Folder), Rand: newIncarnation}
+	if _, initial := r.Settings.Members[r.Settings.ID]; initial && r.FirstStart {
+		s.Initial = crstore.FirstState(r.Settings.Members)
+	}
+	return s
+}
+
 // resolvePending resolves all pending proposals with an error.
 func (r *Replica) resolvePending(err error) {
 	for i, p := range r.pending {
--- a/internal/crreplica/replacement_test.go
+++ b/internal/crreplica/replacement_test.go
@@ -40,16 +40,22 @@
 // newReplacementSim starts a group of 2*faultTolerance+1 instances in as many zones and
 // waits until all of them vote.
 func newReplacementSim(seed uint64, faultTolerance int) *replacementSim {
+	r := startReplacementSim(seed, faultTolerance)
+	for r.now < replaceRecoveryTicks && !r.allVoting() || r.leader() == nil {
+		r.tick()
+	}
+	return r
+}
+
+// startReplacementSim starts a group of 2*faultTolerance+1 instances in as many zones.
+func startReplacementSim(seed uint64, faultTolerance int) *replacementSim {
 	r := &replacementSim{
-		sim: newSim(seed, 2*faultTolerance+1), zones: map[uint64]string{}, stopping: map[uint64]bool{}, gone: map[uint64]bool{},
+		sim: startSim(seed, 2*faultTolerance+1, true), zones: map[uint64]string{}, stopping: map[uint64]bool{}, gone: map[uint64]bool{},
 		faultTolerance: faultTolerance,
 	}
 	for _, n := range r.nodes {
 		r.zones[n.id] = fmt.Sprint("z", n.id)
 	}
-	for r.now < replaceRecoveryTicks && !r.allVoting() || r.leader() == nil {
-		r.tick()
-	}
 	return r
 }
 
@@ -105,7 +111,7 @@
 
 // add starts an instance with an empty disk.
 func (r *replacementSim) add(zone string) *simNode {
-	n := &simNode{id: uint64(len(r.nodes)) + 1, disk: crdisk.New(r.rnd.IntN)}
+	n := &simNode{id: uint64(len(r.nodes)) + 1, disk: crdisk.New(r.rnd.IntN), started: true}
 	r.nodes = append(r.nodes, n)
 	r.zones[n.id] = zone
 	r.start(n)
@@ -237,10 +243,10 @@
 // TestSimulationReplacedInstances guards against a group without a quorum for good: an
 // instance that was replaced counted as a voter when the next disk was lost. Instances
 // are replaced as planned or without notice, in any order with the start of the
-// successor, with restarts in between, and two in a row.
+// successor, with restarts in between, and two in a row. REPLACEMENT_SEEDS sets the
+// number of seeds.
 func TestSimulationReplacedInstances(t *testing.T) {
-	const seeds = 300
-	for seed := uint64(1); seed <= seeds; seed++ {
+	for seed := uint64(1); seed <= envUint("REPLACEMENT_SEEDS", 300); seed++ {
 		r := newReplacementSim(seed, 1+int(seed%2))
 		for range 2 {
 			o := draw(r.rnd)
--- a/internal/crreplica/replica.go
+++ b/internal/crreplica/replica.go
@@ -60,6 +60,9 @@
 	Settings *crdoc.Replica
 	// Zone is the availability zone of the instance, empty if unknown.
 	Zone string
+	// FirstStart is true only when the whole system starts for the first time, with
+	// empty disks. Then the members of Settings begin with the same configuration.
+	FirstStart bool
 	// Client calls the other instances.
 	Client *crnet.Client
 	// Apply applies the data of a committed entry to the state machine. It
--- a/internal/crreplica/simulation_test.go
+++ b/internal/crreplica/simulation_test.go
@@ -56,6 +56,7 @@
 	pauseTicks  int                   // ticks until it runs again
 	missedTicks uint64                // ticks that passed while it was paused
 	tickLoss    int                   // its clock loses one tick in tickLoss+1, 0 for none
+	started     bool                  // it has been started before
 }
 
 // packet is a message in the network.
@@ -75,6 +76,10 @@
 	blocked        map[[2]uint64]bool // by sender and receiver
 	lossPercent    int
 	clockSkew      bool // some clocks lose ticks
+	// firstStart is set if the instances are told that the whole system starts for the
+	// first time, each at its first start only. Otherwise all are told the initial
+	// members at each start.
+	firstStart bool
 
 	entries    []string          // applied entries, by index-1
 	appliedAt  []int             // ticks at which they were first applied
@@ -86,9 +91,12 @@
 	err        error
 }
 
-func newSim(seed uint64, size int) *sim {
+func newSim(seed uint64, size int) *sim { return startSim(seed, size, false) }
+
+// startSim starts instances.
+func startSim(seed uint64, size int, firstStart bool) *sim {
 	s := &sim{
-		rnd: rand.New(rand.NewPCG(seed, 1)), blocked: map[[2]uint64]bool{}, initialMembers: map[uint64]string{},
+		firstStart: firstStart, rnd: rand.New(rand.NewPCG(seed, 1)), blocked: map[[2]uint64]bool{}, initialMembers: map[uint64]string{},
 		checksums: map[uint64]uint64{}, leaders: map[uint64]uint64{},
 	}
 	for id := uint64(1); id <= uint64(size); id++ {
@@ -110,9 +118,18 @@
 // start starts an instance from its disk.
 func (s *sim) start(n *simNode) {
 	n.state, n.pending = stateMachine{}, map[uint64]pendingCAS{}
+	node := &crquorum.Node{ID: n.id, InitialMembers: s.initialMembers, Rand: s.rnd.Uint64N, ElectionTicks: simElectionTicks}
+	store := &crstore.Store{Folder: n.disk.Folder(), Rand: s.rnd.Uint64}
+	if s.firstStart {
+		node.InitialMembers = nil
+	}
+	if s.firstStart && !n.started {
+		store.Initial = crstore.FirstState(s.initialMembers)
+	}
+	n.started = true
 	n.driver = &crreplica.Driver{
-		Node:              &crquorum.Node{ID: n.id, InitialMembers: s.initialMembers, Rand: s.rnd.Uint64N, ElectionTicks: simElectionTicks},
-		Store:             &crstore.Store{Folder: n.disk.Folder(), Rand: s.rnd.Uint64},
+		Node:              node,
+		Store:             store,
 		Send:              s.send,
 		Apply:             func(e crquorum.Entry) { s.apply(n, e) },
 		Snapshot:          func() []byte { data, _ := json.Marshal(n.state); return data },
--- a/internal/crstore/store.go
+++ b/internal/crstore/store.go
@@ -29,6 +29,9 @@
 	// Rand returns a random number for the incarnation of an empty folder. It
 	// is called again if the number is 0.
 	Rand func() uint64
+	// Initial is what the log of an empty folder begins with; nil for a random
+	// incarnation only.
+	Initial *State
 
 	incarnation uint64
 	file        *File
@@ -97,13 +100,33 @@
 
 // createLog creates the log of an empty folder.
 func (s *Store) createLog() (State, error) {
-	for s.incarnation == 0 {
-		s.incarnation = s.Rand()
+	state := State{}
+	if s.Initial != nil {
+		state = *s.Initial
 	}
-	if err := s.replaceLog(appendIncarnation(nil, s.incarnation), nil); err != nil {
+	for state.Incarnation == 0 {
+		state.Incarnation = s.Rand()
+	}
+	s.incarnation = state.Incarnation
+	first := appendIncarnation(nil, state.Incarnation)
+	if s.Initial != nil {
+		first = appendHardState(first, state.HardState)
+	}
+	for _, e := range state.Entries {
+		first = appendEntry(first, e)
+	}
+	if err := s.replaceLog(first, nil); err != nil {
 		return State{}, err
 	}
-	return State{Incarnation: s.incarnation}, nil
+	return state, nil
+}
+
+// FirstState returns what the log of an initial member begins with at the first start of
+// the whole system. It is one frame, so that a process that is killed leaves all of it or
+// nothing.
+func FirstState(members map[uint64]string) *State {
+	hard, entries := crquorum.FirstState(members)
+	return &State{Incarnation: crquorum.InitialIncarnation, HardState: hard, Entries: entries}
 }
 
 // Append writes and syncs a hard state, unless it is nil, and entries. The
