crcontrol: a new group takes no change before enough instances vote

What callers saw: a group that should bear the loss of two disks acknowledged its first configuration with three voters 4 s after the start of the leader, and an order about a zone or a document with three voters at once. Two lost disks take both along.

Cause: checkVoterCount gave up after maxGrowthWait, for deployments that may have no more instances, and looked at catalogs only. The invariant "nothing is acknowledged that the loss of as many disks as the settings name can take, from the first acknowledgement on" holds for each kind of change, however long the missing instances take.

Change: the check holds for each operator's change but those of the members, until the first one was taken, and has no time limit. The answer and a log line say how many voters are missing.

Result: TestNoFirstChangeWithTooFewVoters fails before for a zone order and a document (a catalog was refused there for 4 s only), and passes now.

--- a/internal/crcontrol/admission.go
+++ b/internal/crcontrol/admission.go
@@ -9,7 +9,6 @@
 	"slices"
 	"time"
 
-	"cardamomring.dev/internal/crclock"
 	"cardamomring.dev/internal/crnet"
 	"cardamomring.dev/internal/crquorum"
 	"cardamomring.dev/internal/crreplica"
@@ -25,9 +24,6 @@
 	admitInterval = 200 * time.Millisecond
 	// admitTimeout bounds one admission request.
 	admitTimeout = time.Second
-	// maxGrowthWait bounds how long the first catalog waits for the group to
-	// grow. It allows for several admissions of 200 ms each.
-	maxGrowthWait = 4 * time.Second
 	// changeRetryInterval is the time between two attempts to change the members
 	// while another change is under way.
 	changeRetryInterval = 5 * time.Millisecond
@@ -43,17 +39,25 @@
 	return out
 }
 
-// checkVoterCount rejects the first catalog while a new group has too few voters
-// for FaultTolerance, because what a group of one or two voters acknowledges can be
-// lost with one disk. After maxGrowthWait it accepts the catalog, because the
-// deployment may have no more instances.
+// checkVoterCount rejects changes while a new group has too few voters for
+// FaultTolerance, because what a smaller group acknowledges can be lost with as many
+// disks.
 func (c *Control) checkVoterCount(change *crwire.Change) error {
-	firstCatalog := c.Settings.Replica.Address != "" && change.Kind == crwire.KindCatalog && c.source.View().Catalog == nil
-	voters := len(c.replica.Status().Voters)
-	if !firstCatalog || voters > 2*c.FaultTolerance || crclock.Now()-c.startedAt > maxGrowthWait {
+	if c.Settings.Replica.Address == "" || change.Kind == crwire.KindInstance {
 		return nil
 	}
-	return fmt.Errorf("the group has %d voters and waits for %d", voters, 2*c.FaultTolerance+1)
+	isNew := false
+	err := c.replica.Do(func() {
+		isNew = len(c.state.ZoneVersions) == 0 && len(c.state.Services) == 0 && c.state.CatalogSource().Version == 0
+	})
+	voters, enough := len(c.replica.Status().Voters), 2*c.FaultTolerance+1
+	if err != nil || !isNew || voters >= enough {
+		return err
+	}
+	if c.loggedVoters.Swap(int64(voters)) != int64(voters) {
+		c.Logf("the new group has %d voters and takes no change before it has %d, as the stated loss of %d disks needs", voters, enough, c.FaultTolerance)
+	}
+	return fmt.Errorf("the new group has %d voters and waits for %d", voters, enough)
 }
 
 // admissionLoop requests admission while this instance needs it.
--- a/internal/crcontrol/admission_test.go
+++ b/internal/crcontrol/admission_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
 	"github.com/prometheus/client_golang/prometheus"
 
 	"cardamomring.dev/internal/crcontrol"
@@ -27,6 +28,8 @@
 	client *crnet.Client
 	// single means that the group has one instance and tolerates no failure.
 	single bool
+	// faultTolerance is how many disks may be lost at once, 0 for one.
+	faultTolerance int
 }
 
 // node is an instance of a group.
@@ -83,6 +86,9 @@
 		Ready:    func(addr string) { ready <- addr }, Registry: prometheus.NewRegistry(), Logf: func(string, ...any) {},
 		Peers: func() []string { return g.seeds }, FirstStart: firstStart, FaultTolerance: 1, TickInterval: 10 * time.Millisecond, ElectionTicks: 20,
 	}
+	if g.faultTolerance > 0 {
+		n.FaultTolerance = g.faultTolerance
+	}
 	if g.single {
 		n.FaultTolerance = 0
 	}
@@ -350,6 +356,36 @@
 	}
 }
 
+// TestNoFirstChangeWithTooFewVoters guards against a change of any kind that is
+// acknowledged on fewer disks than FaultTolerance requires, however long the missing
+// instances take.
+func TestNoFirstChangeWithTooFewVoters(t *testing.T) {
+	g := &group{tb: t, client: &crnet.Client{}, faultTolerance: 2}
+	g.client.Open()
+	t.Cleanup(g.client.Close)
+	g.seeds = []string{freeAddr(t), freeAddr(t), freeAddr(t)}
+	var nodes []*node
+	for i, addr := range g.seeds {
+		nodes = append(nodes, g.start(uint64(i+1), addr, filepath.Join(t.TempDir(), "data"), true))
+	}
+	g.waitForVoters(nodes[0], g.seeds...)
+	want := "the new group has 3 voters and waits for 5"
+	for _, change := range []*crwire.Change{
+		{ID: "1", Kind: crwire.KindCatalog, Catalog: &crdoc.Catalog{Version: 1}, Source: []byte("1")},
+		{ID: "2", Kind: crwire.KindZoneOut, Zone: "z1", Base: new(uint64)},
+		{ID: "3", Kind: crwire.KindApply, Service: document("s", "127.0.0.1:9000")},
+	} {
+		result := nodes[0].Submit(t.Context(), change)
+		if diff := cmp.Diff([]any{crwire.CodeUnavailable, want}, []any{result.Code, result.Text}); diff != "" {
+			t.Errorf("%s (-want +got):\n%s", change.Kind, diff)
+		}
+	}
+	for id := uint64(4); id <= 5; id++ {
+		g.start(id, freeAddr(t), filepath.Join(t.TempDir(), "data"), true)
+	}
+	g.applyCatalog(nodes[0], 1)
+}
+
 // TestAdmissionRequestIsForwardedOnce guards against admission requests that loop
 // between instances that disagree about the leader: only the leader accepts a
 // request that was already forwarded.
--- a/internal/crcontrol/control.go
+++ b/internal/crcontrol/control.go
@@ -14,7 +14,6 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
-	"cardamomring.dev/internal/crclock"
 	"cardamomring.dev/internal/crfeed"
 	"cardamomring.dev/internal/crnet"
 	"cardamomring.dev/internal/crreplica"
@@ -58,7 +57,7 @@
 	// majority is enough. All of them must name the same members.
 	FirstStart bool
 	// FaultTolerance is how many disks may be lost at once. The first
-	// catalog waits for 2*FaultTolerance+1 voters. The vote of an instance that is silent or
+	// change waits for 2*FaultTolerance+1 voters. The vote of an instance that is silent or
 	// stops is taken only while that many others, and at least three, vote.
 	FaultTolerance int
 	// FlowLifetime is the greatest age of an open flow of opaque services; 0 means an
@@ -84,10 +83,11 @@
 	// resignedAt is when instances said that they stop, on the clock of crclock. The
 	// leader uses it.
 	resignedAt map[uint64]time.Duration
+	// loggedVoters is the number of voters in the last line about a new group that has
+	// too few.
+	loggedVoters atomic.Int64
 	// resigning is set when this instance begins a planned stop.
 	resigning atomic.Bool
-	// startedAt is the start time on the clock of crclock.
-	startedAt time.Duration
 	// provisionalView is the view of the state that was on disk at the start. It
 	// may contain entries that are not committed. It is nil if the disk held no
 	// state, and it is not modified after the start.
@@ -157,7 +157,6 @@
 	if err != nil {
 		return err
 	}
-	c.startedAt = crclock.Now()
 	c.state = crstate.New()
 	c.source = crfeed.NewSource(crfeed.EmptyView())
 	c.metrics = newMetrics(c.Registry)
