crcontrol: the answer to a resignation is written while its caller waits

Cause: the answer was set by a function that may still run when its caller's time is over, so that both could write it. Found by reading.

Change: it is set in Replica.Do, which waits. voterGroup takes the members.

Result: the tests of crcontrol pass with the race detector.

--- a/internal/crcontrol/resignation.go
+++ b/internal/crcontrol/resignation.go
@@ -7,7 +7,6 @@
 
 	"cardamomring.dev/internal/crclock"
 	"cardamomring.dev/internal/crnet"
-	"cardamomring.dev/internal/crquorum"
 	"cardamomring.dev/internal/crreplica"
 	"cardamomring.dev/internal/crwire"
 )
@@ -86,10 +85,9 @@
 	if err := retryPending(ctx, func() error { return c.adjustVoters(ctx) }); err != nil {
 		return resp, err
 	}
-	err = c.replica.ChangeMembers(ctx, func(n *crquorum.Node) (index, term uint64, err error) {
-		group := c.voterGroup(n)
+	err = c.replica.Do(func() {
+		group := c.voterGroup(c.replica.Status().Members)
 		resp = crwire.ResignResponse{Voting: group.Votes(id), Needed: !group.Replaceable(id)}
-		return 0, 0, nil
 	})
 	return resp, err
 }
--- a/internal/crcontrol/voters.go
+++ b/internal/crcontrol/voters.go
@@ -58,7 +58,7 @@
 		if !n.Status().Leading || n.FreshUntil() <= n.Now() {
 			return 0, 0, nil
 		}
-		group := c.voterGroup(n)
+		group := c.voterGroup(n.Status().Config.Members)
 		change := group.Next()
 		if change.Op == crvoters.OpDemote && change.ID == c.Settings.Replica.ID {
 			c.handOver(n, group)
@@ -74,11 +74,11 @@
 	})
 }
 
-// voterGroup returns what this leader knows about the instances. It runs in the
-// replica's goroutine.
-func (c *Control) voterGroup(n *crquorum.Node) *crvoters.Group {
+// voterGroup returns what this leader knows about the members. It runs in the replica's
+// goroutine.
+func (c *Control) voterGroup(members map[uint64]crquorum.Member) *crvoters.Group {
 	group := &crvoters.Group{
-		Config: n.Status().Config, Silence: map[uint64]time.Duration{}, Answered: map[uint64]bool{},
+		Config: crquorum.Config{Members: members}, Silence: map[uint64]time.Duration{}, Answered: map[uint64]bool{},
 		Stopping: map[uint64]bool{}, FaultTolerance: c.FaultTolerance,
 	}
 	for id, contact := range c.replica.Contacts() {
