crquorum: a first configuration of lost disks is replaced

What was seen: TestSimulation, seed 58676: no leader after the faults have ended.

Cause: two of three instances lost their disks after they had pledged to join the founder's cluster, and the founder counted the second pledge after that. The first configuration named a majority of disks that were gone, and the founder never asked again, though nothing depended on it. Two of three disks within a second are more than the group bears, but a group that has confirmed nothing has nothing to lose.

Change: while its log holds nothing but the first configuration and no quorum has confirmed that, the founder goes on asking. Once all others pledge anew that their logs are empty, and one of them with another disk, it replaces the configuration in a new term. Pledges for requests that were sent before don't count.

--- a/internal/crquorum/bootstrap.go
+++ b/internal/crquorum/bootstrap.go
@@ -18,6 +18,11 @@
 		n.bootstrap()
 		return
 	}
+	n.sendHellos()
+}
+
+// sendHellos asks the other initial instances to join this instance's cluster.
+func (n *Node) sendHellos() {
 	for _, id := range slices.Sorted(maps.Keys(n.InitialMembers)) {
 		if id != n.ID {
 			n.send(Message{Kind: KindHello, To: id, Echo: n.peerTicks[id]})
@@ -25,6 +30,14 @@
 	}
 }
 
+// isUncommittedBootstrap reports whether the log holds nothing but the first
+// configuration of a cluster that this instance has bootstrapped, and no quorum has
+// confirmed it.
+func (n *Node) isUncommittedBootstrap() bool {
+	return n.log.last() == 1 && n.commit == 0 && n.phase != phaseLeader &&
+		n.hardState.Cluster == n.Incarnation && n.isBootstrapper(n.ID)
+}
+
 // isBootstrapper reports whether an instance has the lowest ID of the initial
 // instances.
 func (n *Node) isBootstrapper(id uint64) bool {
@@ -55,30 +68,44 @@
 	if n.isLogEmpty() && (!other || n.isEchoSinceJoin(m.Echo)) {
 		n.joinCluster(cluster)
 	}
-	n.send(Message{Kind: KindPledge, To: m.From, Index: n.log.last()})
+	n.send(Message{Kind: KindPledge, To: m.From, Index: n.log.last(), Echo: m.Tick})
 }
 
 // onPledge records that the sender has pledged to join this instance's cluster.
 // If the sender has a log, its cluster exists already, and this instance joins
 // that cluster.
 func (n *Node) onPledge(m Message) {
-	if !n.isLogEmpty() || !n.isBootstrapper(n.ID) {
+	if !n.isBootstrapper(n.ID) || !n.isLogEmpty() && !n.isUncommittedBootstrap() {
 		return
 	}
 	if m.Index > 0 {
 		delete(n.pledges, m.From)
-		n.joinCluster(m.Cluster)
+		if n.isLogEmpty() {
+			n.joinCluster(m.Cluster)
+		}
 		return
 	}
-	if m.Cluster != n.Incarnation {
+	if m.Cluster != n.Incarnation || m.Echo < n.bootstrappedAt {
 		return
 	}
 	n.pledges[m.From] = m.Incarnation
-	if n.allPledged() {
+	if n.allPledged() && n.hasNewPledge() {
 		n.bootstrap()
 	}
 }
 
+// hasNewPledge reports whether the first configuration doesn't name all disks that have
+// pledged. An instance may lose its disk after its pledge was sent. If all other logs
+// are still empty, nothing depends on that configuration, and it may be replaced.
+func (n *Node) hasNewPledge() bool {
+	for id, incarnation := range n.pledges {
+		if n.log.config().Members[id].Incarnation != incarnation {
+			return true
+		}
+	}
+	return false
+}
+
 // allPledged reports whether every other initial instance has pledged.
 func (n *Node) allPledged() bool {
 	for id := range n.InitialMembers {
@@ -89,14 +116,18 @@
 	return true
 }
 
-// bootstrap appends the first configuration and starts a forced election. Forcing
-// it is safe because the cluster can't have another leader.
+// bootstrap appends the first configuration, in place of an uncommitted one, and starts
+// a forced election. Forcing it is safe because the cluster can't have another leader.
 func (n *Node) bootstrap() {
+	if !n.isLogEmpty() {
+		n.log.truncate(1)
+	}
 	c := Config{Members: map[uint64]Member{}}
 	for id, addr := range n.InitialMembers {
 		c.Members[id] = Member{Addr: addr, Incarnation: n.pledges[id]}
 	}
 	c.Members[n.ID] = Member{Addr: n.InitialMembers[n.ID], Incarnation: n.Incarnation, Zone: n.Zone}
+	n.pledges, n.bootstrappedAt = map[uint64]uint64{}, n.now
 	n.hardState.Cluster = n.Incarnation
 	n.becomeFollower(n.hardState.Term+1, 0)
 	n.appendEntry(EntryConfig, c.Encode())
--- a/internal/crquorum/node.go
+++ b/internal/crquorum/node.go
@@ -76,8 +76,11 @@
 	// leaderSince is when this instance became leader.
 	leaderSince uint64
 	// pledges maps each initial instance that has pledged to join this
-	// instance's cluster to its incarnation.
-	pledges map[uint64]uint64
+	// instance's cluster to its incarnation. Pledges for requests that were sent
+	// before bootstrappedAt, when this instance bootstrapped the cluster or
+	// started, don't count.
+	pledges        map[uint64]uint64
+	bootstrappedAt uint64
 
 	beforeSync, afterSync []Message
 	pendingSync           syncTarget
@@ -109,7 +112,7 @@
 	n.peerTicks = map[uint64]uint64{}
 	n.pledges = map[uint64]uint64{}
 	n.now = minClockStart + n.Rand(minClockStart)
-	n.lastLeaderContact, n.clusterJoinedAt = n.now, n.now
+	n.lastLeaderContact, n.clusterJoinedAt, n.bootstrappedAt = n.now, n.now, n.now
 	n.becomeFollower(n.hardState.Term, 0)
 	if n.isBeforeFirstElection() {
 		// No leader's lease can depend on this instance.
@@ -139,6 +142,9 @@
 		return
 	}
 	n.resetDeadline()
+	if n.isUncommittedBootstrap() {
+		n.sendHellos()
+	}
 	if n.log.config().IsVoter(n.ID, n.Incarnation) {
 		n.startPreVote()
 	}
--- a/internal/crquorum/node_test.go
+++ b/internal/crquorum/node_test.go
@@ -268,6 +268,44 @@
 	}
 }
 
+// Two of three initial disks are lost after their pledges were sent, so that the first
+// configuration names a majority of disks that are gone. The instance that bootstrapped
+// the cluster replaces it once all others pledge anew that their logs are empty, and not
+// for pledges from before or while another instance has a log.
+func TestNodeReplacesBootstrapOfLostDisks(t *testing.T) {
+	n := &crquorum.Node{
+		ID: 1, Incarnation: incarnation(1), Rand: func(uint64) uint64 { return 0 },
+		InitialMembers: map[uint64]string{1: "a", 2: "b", 3: "c"},
+	}
+	if err := n.Open(crquorum.HardState{}, nil, nil); err != nil {
+		t.Fatal(err)
+	}
+	pledge := func(id, disk, echo, index uint64) {
+		t.Helper()
+		step(t, n, crquorum.Message{
+			Kind: crquorum.KindPledge, From: id, To: 1, Incarnation: disk, Cluster: incarnation(1), Echo: echo, Index: index,
+		})
+	}
+	disks := func() []uint64 { return []uint64{member(n, 2).Incarnation, member(n, 3).Incarnation} }
+	pledge(2, 20, n.Now(), 0)
+	pledge(3, 30, n.Now(), 0)
+	got := [][]uint64{disks()}
+	n.Tick(1)
+	pledge(2, 21, n.Now()-2, 0)
+	pledge(3, 31, n.Now(), 0)
+	got = append(got, disks())
+	pledge(2, 21, n.Now(), 1)
+	got = append(got, disks())
+	pledge(2, 21, n.Now(), 0)
+	got = append(got, disks())
+	if d := cmp.Diff([][]uint64{{20, 30}, {20, 30}, {20, 30}, {21, 31}}, got); d != "" {
+		t.Errorf("disks in the configuration (-want +got):\n%s", d)
+	}
+	if last := n.Status().LastIndex; last != 1 {
+		t.Errorf("last index %d, want 1", last)
+	}
+}
+
 // FuzzStep checks that no message from another instance makes a node panic.
 func FuzzStep(f *testing.F) {
 	for kind := crquorum.KindAppend; kind <= crquorum.KindTakeover; kind++ {
--- a/internal/crreplica/faults_test.go
+++ b/internal/crreplica/faults_test.go
@@ -184,7 +184,17 @@
 // leader, logs match, no committed entry is lost, states are equal,
 // compare-and-set operations are linearizable, and the cluster recovers after the
 // faults. QUORUM_SEED selects a single seed, QUORUM_SEEDS sets their number.
-func TestSimulation(t *testing.T) {
+func TestSimulation(t *testing.T) { simulate(t, newSim) }
+
+// TestSimulationOfKnownDisks is TestSimulation for a group whose initial members begin
+// with the same configuration.
+func TestSimulationOfKnownDisks(t *testing.T) {
+	simulate(t, func(seed uint64, size int) *sim { return startSim(seed, size, true) })
+}
+
+// simulate runs a simulation with each seed.
+func simulate(t *testing.T, start func(seed uint64, size int) *sim) {
+	t.Helper()
 	first, count := uint64(1), envUint("QUORUM_SEEDS", 2000)
 	if seed := envUint("QUORUM_SEED", 0); seed > 0 {
 		first, count = seed, 1
@@ -194,8 +204,8 @@
 	for w := range uint64(workers) {
 		wg.Go(func() {
 			for seed := first + w; seed < first+count && !t.Failed(); seed += workers {
-				if err := newSim(seed, 3+2*int(seed%2)).run(); err != nil {
-					t.Errorf("%v\nreplay: QUORUM_SEED=%d go test -run TestSimulation ./internal/crreplica", err, seed)
+				if err := start(seed, 3+2*int(seed%2)).run(); err != nil {
+					t.Errorf("%v\nreplay: QUORUM_SEED=%d go test -run '%s$' ./internal/crreplica", err, seed, t.Name())
 				}
 			}
 		})
@@ -205,9 +215,10 @@
 
 // TestSimulationFailedSeeds plays seeds beyond those of TestSimulation that have failed.
 // Seed 55732: a delayed request of a founder's lost disk took back a pledge that the
-// founder counted on, and a second lost disk then left no majority.
+// founder counted on, and a second lost disk then left no majority. Seed 58676: two of
+// three disks were lost after their pledges were sent, before the founder counted them.
 func TestSimulationFailedSeeds(t *testing.T) {
-	for _, seed := range []uint64{55732} {
+	for _, seed := range []uint64{55732, 58676} {
 		if err := newSim(seed, 3+2*int(seed%2)).run(); err != nil {
 			t.Errorf("seed %d: %v", seed, err)
 		}
