cropaque: an agent resets no flow that may be open at another backend server

Cause: an agent that was restarted says "maybe" to lookups and takes packets of flows that it doesn't know. When a probe showed that its backend server was gone, or a newer start was announced, it reset those flows like the ones that had been open there. The invariant "a flow is reset only with proof that it was open at this backend server, or that none has it" was missing in Gate.resetAllFlows. After that the agent went on saying "maybe", though no run that could hold older flows was left.

Change: the agent denies such a flow, so that its balancer goes on with the lookup, and resets the caller only if all agents that can hold the flow deny it. Once a run of the backend server has ended the agent denies flows that it doesn't know.

--- a/internal/cropaque/backend.go
+++ b/internal/cropaque/backend.go
@@ -108,15 +108,20 @@
 }
 
 // resetAllFlows removes all flows after a run of the backend server has ended.
-// Callers of flows that are or may be open are reset; other flows are returned
-// to their balancers.
+// Callers of flows that were open at it are reset. A flow that only may have been open
+// here may be open at another backend server, so its balancer looks on for the owner;
+// this agent denies it from now on. Other flows are returned to their balancers.
 func (g *Gate) resetAllFlows(now time.Time) {
+	g.formerRunEnded = true
 	for key, f := range g.flows {
 		switch {
 		case f.ended:
-		case f.opened || f.unverified:
+		case f.opened:
 			g.LogDecision(Decision{Event: "caller is reset: its backend server is gone", Key: key, Age: now.Sub(f.lastPacketAt)})
 			g.ResetFlow(key, f.callerAck)
+		case f.unverified:
+			g.LogDecision(Decision{Event: "caller isn't reset: its flow may be open elsewhere", Key: key, Age: now.Sub(f.lastPacketAt)})
+			g.Reply(f.balancer, &Frame{Kind: FrameForeign, Key: key, Load: g.load(now)})
 		default:
 			g.refuse(now, f.offer, key, ReasonGone)
 		}
@@ -156,8 +161,11 @@
 
 // recovering reports whether the backend server may hold flows that began
 // before this agent started. Packets reach it through its agent only, so it must
-// have run beside an earlier agent.
+// have run beside an earlier agent, and that run must not have ended.
 func (g *Gate) recovering(now time.Time) bool {
+	if g.formerRunEnded {
+		return false
+	}
 	headStart := g.StartedAt.UnixMilli() - g.server.StartedMS
 	return now.Sub(g.StartedAt) < defaultIdleTimeout && (!g.serverPresent || headStart > minServerHeadStart.Milliseconds())
 }
--- a/internal/cropaque/gate.go
+++ b/internal/cropaque/gate.go
@@ -81,10 +81,13 @@
 	withdrawnMS int64
 	draining    bool
 	// leaving is set from the withdrawal of the backend server until it has ended.
-	leaving      bool
-	serverSeenAt time.Time
-	announcedAt  time.Time
-	coldUntil    time.Time
+	leaving bool
+	// formerRunEnded is set when a run of the backend server has ended while this agent
+	// ran. Later runs hold no flows that this agent doesn't know.
+	formerRunEnded bool
+	serverSeenAt   time.Time
+	announcedAt    time.Time
+	coldUntil      time.Time
 	// silentSince is when the backend server was found not to answer, zero
 	// while it answers.
 	silentSince time.Time
