crquorum: zones come with the admission alone; an empty configuration has no lowest ID

Cause: found while reading the change. Node.Zone was set for groups that one instance founds, which the platform's groups no longer are, and hasLowestID read the first of the members without a look whether there are any.

Change: Node.Zone and Replica.Zone are gone; hasLowestID checks.

--- a/internal/crcontrol/control.go
+++ b/internal/crcontrol/control.go
@@ -170,7 +170,7 @@
 	c.claims = newBatcher(c.claimKeys)
 	c.settles = newBatcher(c.recordOutcomes)
 	c.replica = &crreplica.Replica{
-		Settings: c.Settings.Replica, Zone: c.Settings.Zone, FirstStart: c.FirstStart, Client: c.client,
+		Settings: c.Settings.Replica, FirstStart: c.FirstStart, Client: c.client,
 		Apply: c.apply, Snapshot: c.snapshot, Restore: c.restore, StatusChanged: c.statusChanged,
 		Registry: c.Registry, Logf: c.Logf, TickInterval: c.TickInterval, ElectionTicks: c.ElectionTicks,
 	}
--- a/internal/crquorum/bootstrap.go
+++ b/internal/crquorum/bootstrap.go
@@ -126,7 +126,7 @@
 	for id, addr := range n.InitialMembers {
 		c.Members[id] = Member{Addr: addr, Incarnation: n.pledges[id]}
 	}
-	c.Members[n.ID] = Member{Addr: n.InitialMembers[n.ID], Incarnation: n.Incarnation, Zone: n.Zone}
+	c.Members[n.ID] = Member{Addr: n.InitialMembers[n.ID], Incarnation: n.Incarnation}
 	n.pledges, n.bootstrappedAt = map[uint64]uint64{}, n.now
 	n.hardState.Cluster = n.Incarnation
 	n.becomeFollower(n.hardState.Term+1, 0)
--- a/internal/crquorum/firststart.go
+++ b/internal/crquorum/firststart.go
@@ -26,5 +26,8 @@
 // no election yet. Then it has acknowledged no leader.
 func (n *Node) isBeforeFirstElection() bool { return n.hardState.Term == 0 && !n.isLogEmpty() }
 
-// hasLowestID reports whether no other member has a lower ID.
-func (n *Node) hasLowestID() bool { return n.log.config().IDs()[0] == n.ID }
+// hasLowestID reports whether this instance is the member with the lowest ID.
+func (n *Node) hasLowestID() bool {
+	ids := n.log.config().IDs()
+	return len(ids) > 0 && ids[0] == n.ID
+}
--- a/internal/crquorum/lead.go
+++ b/internal/crquorum/lead.go
@@ -26,7 +26,7 @@
 		return
 	}
 	members := n.log.config().Members
-	changed := n.log.configIndex() == n.log.last()
+	addedNow := n.log.configIndex() == n.log.last()
 	for id := range n.peers {
 		if _, ok := members[id]; !ok {
 			delete(n.peers, id)
@@ -34,7 +34,7 @@
 	}
 	for id := range members {
 		if id != n.ID && n.peers[id] == nil {
-			n.peers[id] = &progress{next: n.log.last() + 1, probing: true, trackedSince: n.now, answered: changed}
+			n.peers[id] = &progress{next: n.log.last() + 1, probing: true, trackedSince: n.now, answered: addedNow}
 		}
 	}
 }
--- a/internal/crquorum/node.go
+++ b/internal/crquorum/node.go
@@ -36,9 +36,6 @@
 	// The instance with the lowest ID bootstraps the cluster once all others
 	// have pledged to join it. It isn't needed if the disk holds a FirstState.
 	InitialMembers map[uint64]string
-	// Zone is the availability zone of this instance, empty if unknown. A new
-	// cluster's configuration names it.
-	Zone string
 	// Rand returns a random number in [0, n).
 	Rand func(n uint64) uint64
 	// ElectionTicks is the minimum election timeout, HeartbeatTicks the
--- a/internal/crreplica/diskfull.go
+++ b/internal/crreplica/diskfull.go
@@ -80,7 +80,6 @@
 func (r *Replica) newNode() {
 	r.node = &crquorum.Node{
 		ID: r.Settings.ID, InitialMembers: r.Settings.Members, Rand: mathrand.Uint64N, ElectionTicks: r.ElectionTicks,
-		Zone: r.Zone,
 	}
 	r.driver = &Driver{
 		Node:              r.node,
--- a/internal/crreplica/replica.go
+++ b/internal/crreplica/replica.go
@@ -58,8 +58,6 @@
 type Replica struct {
 	// Settings contain the members and the path of the data folder.
 	Settings *crdoc.Replica
-	// Zone is the availability zone of the instance, empty if unknown.
-	Zone string
 	// FirstStart is true only when the whole system starts for the first time, with
 	// empty disks. Then the members of Settings begin with the same configuration.
 	FirstStart bool
