--- a/review/standin3/fleet.go
+++ b/review/standin3/fleet.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net"
+	"net/netip"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -109,6 +110,15 @@
 
 func (f *fleet) ip(n int) string { return fmt.Sprintf("127.%d.7.%d", f.subnet, n) }
 
+// routeHost returns the host of a route. It is a loopback address that nobody binds:
+// packets of flows name it, and are sent to balancers.
+func (f *fleet) routeHost(n int) string { return fmt.Sprintf("127.%d.6.%d", f.subnet, n) }
+
+// routeAddr returns the address of a route.
+func (f *fleet) routeAddr(n int) netip.AddrPort {
+	return netip.MustParseAddrPort(f.routeHost(n) + ":8443")
+}
+
 // nameSeeds sets the seeds of settings files that are written from now on, three at most.
 func (f *fleet) nameSeeds(controls []*proc) {
 	f.seeds = nil
--- a/review/standin3/lostmember.go
+++ b/review/standin3/lostmember.go
@@ -19,7 +19,7 @@
 		p.launch()
 	}
 	op := newOperator(f, "operator")
-	routes := []route{{"r-clock", "198.18.0.1", 8443, "non_idempotent", "ledger"}}
+	routes := []route{{"r-clock", f.routeHost(1), 8443, "non_idempotent", "ledger"}}
 	if _, ok := op.order("version 7", "PUT", "/-/config", configText(7, routes, "ledger"), 15*time.Second, old...); !ok {
 		cannotRun("the first configuration wasn't accepted")
 	}
--- a/review/standin3/stalechange.go
+++ b/review/standin3/stalechange.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"net/netip"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -54,8 +53,8 @@
 	op1, op2 := newOperator(f, "operator 1"), newOperator(f, "operator 2")
 	routes := func(moved string) []route {
 		return []route{
-			{"r-clock", "198.18.0.1", 8443, "non_idempotent", "ledger"},
-			{"r-sheet", "198.18.0.2", 8443, "idempotent", moved},
+			{"r-clock", f.routeHost(1), 8443, "non_idempotent", "ledger"},
+			{"r-sheet", f.routeHost(2), 8443, "idempotent", moved},
 		}
 	}
 	if _, ok := op1.order("version 7", "PUT", "/-/config", configText(7, routes("ledger"), "ledger", "press"), 15*time.Second, controls...); !ok {
@@ -77,7 +76,7 @@
 	rec.logf("%s leads", leader.name)
 	others := []*proc{c2, c3}
 	cl := newClients(f, r, 100)
-	sheet := netip.MustParseAddrPort("198.18.0.2:8443")
+	sheet := f.routeAddr(2)
 	var n atomic.Int64
 	for range 4 {
 		wg.Go(func() {
--- a/review/standin3/stalelist.go
+++ b/review/standin3/stalelist.go
@@ -44,7 +44,7 @@
 		h.run()
 	}
 	op := newOperator(f, "operator")
-	routes := []route{{"r-clock", "198.18.0.1", 8443, "non_idempotent", "ledger"}}
+	routes := []route{{"r-clock", f.routeHost(1), 8443, "non_idempotent", "ledger"}}
 	if _, ok := op.order("version 7", "PUT", "/-/config", configText(7, routes, "ledger", "press"), 15*time.Second, old...); !ok {
 		cannotRun("the first configuration wasn't accepted")
 	}
@@ -60,7 +60,7 @@
 		cls = append(cls, newClients(f, r, 100+i))
 	}
 	time.Sleep(3 * time.Second)
-	clock, sheet := netip.MustParseAddrPort("198.18.0.1:8443"), netip.MustParseAddrPort("198.18.0.2:8443")
+	clock, sheet := f.routeAddr(1), f.routeAddr(2)
 	// try sends a request through one balancer and returns what came of it.
 	try := func(i int, route netip.AddrPort, id string) string {
 		fl := cls[i].newFlow(route)
@@ -94,8 +94,8 @@
 	}
 	// Version 8 moves one route and adds another. All has been calm for more than contact_ms.
 	routes = []route{
-		{"r-clock", "198.18.0.1", 8443, "non_idempotent", "press"},
-		{"r-sheet", "198.18.0.2", 8443, "idempotent", "press"},
+		{"r-clock", f.routeHost(1), 8443, "non_idempotent", "press"},
+		{"r-sheet", f.routeHost(2), 8443, "idempotent", "press"},
 	}
 	acked, ok := op.order("version 8, which moves r-clock to press and adds r-sheet", "PUT", "/-/config", configText(8, routes, "ledger", "press"), 10*time.Second, controls...)
 	if !ok {
