crquorum: what is committed is on disk before it is applied, and nothing else is shown

A service got 69 to 94 of about 1,000 requests to which neither the configuration in force nor the one before leads them.

Cause: a control instance that starts without a quorum gave daemons that start a view of all entries on its disk. Which of them are committed stood in memory only, so a former leader offered a change that it had appended and never got accepted. The design said so: "the last changes of that state may not be committed". The invariant that was missing: an instance shows only what its own disk says is accepted.

Change: the commit index is a part of the hard state, synced before committed entries are applied. Driver.Open applies the entries up to it, so the view of a starting instance holds accepted changes and nothing after them; loadProvisionalView and PersistedState, which decoded the whole log a second time, are gone. What was accepted stays served at once: a change of what daemons see is acknowledged when the disks of a quorum record it as committed (ProposeRecorded). Instances of earlier releases in the group count with all they hold, so that changes go on during an upgrade.

Weighed: the commit index that the leader knew when it sent the entry is free, but the last change before a loss of power would be missing.

A commit takes two syncs where it took one.

--- a/internal/crcontrol/control.go
+++ b/internal/crcontrol/control.go
@@ -88,10 +88,6 @@
 	loggedVoters atomic.Int64
 	// resigning is set when this instance begins a planned stop.
 	resigning atomic.Bool
-	// provisionalView is the view of the state that was on disk at the start. It
-	// may contain entries that are not committed. It is nil if the disk held no
-	// state, and it is not modified after the start.
-	provisionalView *crwire.View
 
 	announces *batcher[crwire.Member, crwire.AnnounceResponse]
 	claims    *batcher[crwire.Claim, crwire.ClaimResponse]
@@ -119,7 +115,6 @@
 	if err := c.replica.Open(runCtx); err != nil {
 		return err
 	}
-	c.loadProvisionalView()
 	tlsConfig, err := crnet.ServerTLS(c.Settings.TLS, false)
 	if err != nil {
 		return err
--- a/internal/crcontrol/feed.go
+++ b/internal/crcontrol/feed.go
@@ -24,7 +24,7 @@
 	return &crfeed.Handler{
 		Source:          c.source,
 		Stale:           func() bool { return !c.replica.Status().Fresh },
-		ProvisionalView: func() *crwire.View { return c.provisionalView },
+		ProvisionalView: c.source.View,
 		OnPoll:          c.followers.recordPoll,
 		OnAnswer:        c.metrics.countFeedAnswer,
 		StopCtx:         c.runCtx,
--- a/internal/crcontrol/statemachine.go
+++ b/internal/crcontrol/statemachine.go
@@ -44,32 +44,6 @@
 	return entry, err
 }
 
-// loadProvisionalView sets provisionalView from the snapshot and the entries on
-// disk.
-func (c *Control) loadProvisionalView() {
-	snap, entries := c.replica.PersistedState()
-	state := crstate.New()
-	if snap != nil {
-		restored, err := crstate.Restore(snap)
-		if err != nil {
-			c.Logf("no provisional view: failed to restore the snapshot on disk: %v", err)
-			return
-		}
-		state = restored
-	}
-	for _, data := range entries {
-		entry, err := decodeEntry(data)
-		if err != nil {
-			// apply skips and counts the entry once it is committed.
-			continue
-		}
-		state.Apply(entry)
-	}
-	if state.Revision() > 0 {
-		c.provisionalView = state.View()
-	}
-}
-
 // snapshot encodes the state. It runs in the replica's goroutine.
 func (c *Control) snapshot() []byte { return c.state.Snapshot() }
 
@@ -108,7 +82,8 @@
 	c.metrics.setStatus(s)
 }
 
-// commit proposes an entry, waits until it is applied and returns the reply.
+// commit proposes an entry, waits until it is applied and returns the reply. A change of
+// what daemons see is returned once a quorum has recorded it as accepted.
 func (c *Control) commit(ctx context.Context, entry crstate.Entry) (crstate.Reply, error) {
 	entry.Time = time.Now().UTC()
 	data, err := json.Marshal(entry)
@@ -124,7 +99,12 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
 	defer cancel()
-	applied, err := c.replica.Propose(ctx, data)
+	propose := c.replica.Propose
+	if entry.Change != nil || entry.Kind == crwire.KindMembers {
+		// Daemons that start without a quorum obey what an instance knows as accepted.
+		propose = c.replica.ProposeRecorded
+	}
+	applied, err := propose(ctx, data)
 	if err != nil {
 		return crstate.Reply{}, err
 	}
--- a/internal/crfeed/follower.go
+++ b/internal/crfeed/follower.go
@@ -57,9 +57,9 @@
 	MaxBackoff time.Duration
 	// AllowProvisional lets a follower without a view start with a provisional
 	// one, so that a daemon that starts while control has no quorum can serve
-	// with the last state on the disk of an instance. As the last changes of that
-	// state may not be committed, the first answer that is not stale replaces it
-	// completely, whatever its revision.
+	// with the last state that an instance knows to be accepted. Later changes may
+	// have been accepted without that instance, so the follower has no revision of its
+	// own yet, and the first answer that is not stale replaces the view completely.
 	AllowProvisional bool
 	// OnView is called with each new view; calls are never concurrent.
 	OnView func(v *crwire.View)
--- a/internal/crfeed/handler.go
+++ b/internal/crfeed/handler.go
@@ -23,8 +23,9 @@
 	// It is called again after the wait for a change, because the process may
 	// have been suspended meanwhile.
 	Stale func() bool
-	// ProvisionalView returns the latest view that the process has on disk, even
-	// if its last changes are not committed. It may be nil or return nil.
+	// ProvisionalView returns the latest accepted view that the process knows, for
+	// followers without a view while the process is stale. Every change in it must be
+	// committed: a follower obeys it at once. It may be nil or return nil.
 	ProvisionalView func() *crwire.View
 	// OnPoll is called with the name and the current revision of each follower
 	// that polls; optional.
--- a/internal/crquorum/effects.go
+++ b/internal/crquorum/effects.go
@@ -23,6 +23,9 @@
 		n.snapshotInstalled, n.hardStateChanged = false, true
 		n.applied = snap.Index
 	}
+	if n.hardState.Commit < n.commit {
+		n.hardState.Commit, n.hardStateChanged = n.commit, true
+	}
 	if n.hardStateChanged {
 		hard := n.hardState
 		e.HardState = &hard
--- a/internal/crquorum/follow.go
+++ b/internal/crquorum/follow.go
@@ -39,7 +39,7 @@
 		return n.appendNewEntries(m, resp)
 	}
 	n.recordUpToDate(m)
-	n.send(resp)
+	n.sendAppended(resp)
 	return nil
 }
 
@@ -67,10 +67,17 @@
 	}
 	n.commit = max(n.commit, min(m.Commit, resp.Index))
 	n.recordUpToDate(m)
-	n.send(resp)
+	n.sendAppended(resp)
 	return nil
 }
 
+// sendAppended queues the response to an append or snapshot. The commit index is on disk
+// when it is sent.
+func (n *Node) sendAppended(resp Message) {
+	resp.Commit, resp.RecordsCommit = n.commit, true
+	n.send(resp)
+}
+
 // onSnapshot handles a snapshot from the leader.
 func (n *Node) onSnapshot(m Message) {
 	if m.Snapshot == nil || n.phase == phaseLeader {
@@ -91,7 +98,7 @@
 		n.commit = snap.Index
 		n.snapshotInstalled = true
 	}
-	n.send(resp)
+	n.sendAppended(resp)
 }
 
 // recordUpToDate records that this follower has all entries that were committed
--- a/internal/crquorum/inspect.go
+++ b/internal/crquorum/inspect.go
@@ -26,12 +26,6 @@
 	return out
 }
 
-// SnapshotAndEntries returns the snapshot and the entries after it, whether
-// committed or not.
-func (n *Node) SnapshotAndEntries() (Snapshot, []Entry) {
-	return n.log.snap, n.log.between(n.log.snap.Index, n.log.last())
-}
-
 // TrailingCount returns how many of the last applied entries fit within count
 // entries and size bytes of data.
 func (n *Node) TrailingCount(count uint64, size int) uint64 {
--- a/internal/crquorum/lead.go
+++ b/internal/crquorum/lead.go
@@ -82,6 +82,24 @@
 	}
 }
 
+// RecordedCommit returns the last entry that the disks of a quorum record as committed, as
+// far as this leader knows. Any quorum then has an instance that knows after a restart
+// that the entry is committed. It returns 0 if this instance isn't the leader.
+func (n *Node) RecordedCommit() uint64 {
+	if n.phase != phaseLeader {
+		return 0
+	}
+	return n.log.config().quorum(func(id uint64, m Member) uint64 {
+		if id == n.ID {
+			return n.hardState.Commit
+		}
+		if p := n.peers[id]; p != nil && p.incarnation == m.Incarnation {
+			return p.recorded
+		}
+		return 0
+	})
+}
+
 // lastQuorumContact returns the send time of the newest message that a majority
 // has responded to.
 func (n *Node) lastQuorumContact() uint64 {
--- a/internal/crquorum/message.go
+++ b/internal/crquorum/message.go
@@ -33,6 +33,10 @@
 	// follows from the initial members of a first start. It is 0 while unknown, and
 	// doesn't change once the log has an entry.
 	Cluster uint64
+	// Commit is the highest entry that this instance knows to be committed. No entry
+	// is applied before this is synced, so an instance that restarts still knows all
+	// that it has shown to others as accepted. It never decreases.
+	Commit uint64
 }
 
 // Snapshot is the state of the state machine after the entry at Index. It
@@ -95,8 +99,12 @@
 	// that of the entry at Hint.
 	LogTerm uint64  `json:"prev,omitempty"`
 	Entries []Entry `json:"entries,omitempty"`
-	// Commit is the leader's commit index.
+	// Commit is the leader's commit index. In the response to an append or snapshot it is
+	// what the sender has recorded on its disk as committed, if RecordsCommit is set.
 	Commit uint64 `json:"commit,omitempty"`
+	// RecordsCommit is set in the responses of instances that record on their disks which
+	// entries are committed. Those of earlier releases don't.
+	RecordsCommit bool `json:"records,omitempty"`
 	// Reject is set in a response that denies the request.
 	Reject bool `json:"reject,omitempty"`
 	// Hint is the highest index at which the logs of the leader and of the
--- a/internal/crquorum/node.go
+++ b/internal/crquorum/node.go
@@ -104,8 +104,12 @@
 	if err := n.log.open(snap, entries); err != nil {
 		return err
 	}
+	if hard.Commit > n.log.last() {
+		return fmt.Errorf("entries up to %d are committed, but the log ends at entry %d", hard.Commit, n.log.last())
+	}
 	n.hardState = hard
-	n.commit, n.applied = n.log.snap.Index, n.log.snap.Index
+	n.hardState.Commit = max(hard.Commit, n.log.snap.Index)
+	n.commit, n.applied = n.hardState.Commit, n.log.snap.Index
 	n.peerTicks = map[uint64]uint64{}
 	n.pledges = map[uint64]uint64{}
 	n.now = minClockStart + n.Rand(minClockStart)
--- a/internal/crquorum/replicate.go
+++ b/internal/crquorum/replicate.go
@@ -17,6 +17,10 @@
 	incarnation uint64
 	// match is the last entry known to be on the instance's disk.
 	match uint64
+	// recorded is the last entry that the instance's disk records as committed. It is
+	// match if the instance doesn't record that: it then serves its whole log without a
+	// quorum.
+	recorded uint64
 	// next is the next entry to send.
 	next uint64
 	// lastAckedAt is the send time of the newest message that the instance has
@@ -131,6 +135,10 @@
 		return
 	}
 	p.match = max(p.match, m.Index)
+	p.recorded = max(p.recorded, m.Commit)
+	if !m.RecordsCommit {
+		p.recorded = p.match
+	}
 	p.next = max(p.next, p.match+1)
 	if p.match >= p.pendingSnapshot {
 		p.pendingSnapshot, p.probing = 0, false
--- a/internal/crreplica/diskfull.go
+++ b/internal/crreplica/diskfull.go
@@ -102,12 +102,13 @@
 	return s
 }
 
-// resolvePending resolves all pending proposals with an error.
+// resolvePending resolves all pending proposals with an error, except for applied ones.
 func (r *Replica) resolvePending(err error) {
 	for i, p := range r.pending {
 		delete(r.pending, i)
 		p.result <- outcome{err: err}
 	}
+	r.endRecordWaits()
 }
 
 // publishWithoutLeader publishes the last status without a leader and its lease.
--- a/internal/crreplica/driver.go
+++ b/internal/crreplica/driver.go
@@ -47,8 +47,9 @@
 	bytesSinceSnapshot int
 }
 
-// Open loads the state from disk. It returns the number of bytes of an incomplete
-// write that were removed from the end of the log file.
+// Open loads the state from disk and applies the entries that are known to be
+// committed. It returns the number of bytes of an incomplete write that were removed
+// from the end of the log file.
 func (d *Driver) Open() (truncated int64, err error) {
 	state, err := d.Store.Open()
 	if err != nil {
@@ -60,12 +61,23 @@
 		}
 	}
 	d.Node.Incarnation = state.Incarnation
-	return state.TornBytes, d.Node.Open(state.HardState, state.Snapshot, state.Entries)
+	if err := d.Node.Open(state.HardState, state.Snapshot, state.Entries); err != nil {
+		return 0, err
+	}
+	return state.TornBytes, d.carryOut()
 }
 
 // ProcessEffects carries out the node's effects until none is pending. On an
 // error the disk has failed; the instance must stop and send nothing more.
 func (d *Driver) ProcessEffects() error {
+	if err := d.carryOut(); err != nil {
+		return err
+	}
+	return d.compact()
+}
+
+// carryOut carries out the node's effects until none is pending.
+func (d *Driver) carryOut() error {
 	for d.Node.Pending() {
 		e := d.Node.Take()
 		d.Send(e.BeforeSync)
@@ -78,7 +90,7 @@
 			d.Apply(entry)
 		}
 	}
-	return d.compact()
+	return nil
 }
 
 // persist writes the hard state, snapshot and entries of e to disk and syncs them.
--- a/internal/crreplica/inspect.go
+++ b/internal/crreplica/inspect.go
@@ -1,10 +1,6 @@
 package crreplica
 
-import (
-	"time"
-
-	"cardamomring.dev/internal/crquorum"
-)
+import "time"
 
 // Contact is what the leader knows about the connection to a member.
 type Contact struct {
@@ -24,15 +20,3 @@
 	}
 	return out
 }
-
-// PersistedState returns the snapshot and the data of the entries after it, as
-// loaded by Open. The last entries may be uncommitted. Call it before Run.
-func (r *Replica) PersistedState() (snap []byte, entries [][]byte) {
-	s, list := r.node.SnapshotAndEntries()
-	for _, e := range list {
-		if e.Kind == crquorum.EntryData {
-			entries = append(entries, e.Data)
-		}
-	}
-	return s.Data, entries
-}
--- a/internal/crreplica/replica.go
+++ b/internal/crreplica/replica.go
@@ -101,7 +101,9 @@
 	proposals chan proposal
 	inbox     chan Batch
 	pending   map[uint64]pendingProposal
-	links     map[linkKey]*link
+	// recordWaits are the applied proposals of ProposeRecorded.
+	recordWaits []recordWait
+	links       map[linkKey]*link
 	// learnedAddrs maps instance IDs to the host:port in their last batch.
 	learnedAddrs map[uint64]string
 	// lastTick is the crclock time to which the node's clock was last advanced.
--- a/internal/crreplica/run.go
+++ b/internal/crreplica/run.go
@@ -13,10 +13,10 @@
 	"cardamomring.dev/internal/crstore"
 )
 
-// Open loads the state from disk and prepares the replica for Run, Propose and
-// Do. Entries after the snapshot are applied later, when the replica receives the
-// commit index from the leader or becomes the leader itself. The caller must call
-// Run after Open, because Run closes the data folder.
+// Open loads the state from disk, applies the entries that are known to be committed,
+// and prepares the replica for Run, Propose and Do. Later entries are applied when the
+// replica receives the commit index from the leader or becomes the leader itself. The
+// caller must call Run after Open, because Run closes the data folder.
 func (r *Replica) Open(ctx context.Context) error {
 	r.ctx = ctx
 	if r.TickInterval == 0 {
@@ -75,6 +75,7 @@
 	if err == nil && r.driver.Store.Opened() {
 		err = r.transferLeadership()
 	}
+	r.endRecordWaits()
 	close(r.stopped)
 	for _, l := range r.links {
 		close(l.quit)
@@ -96,7 +97,7 @@
 	}
 	for {
 		proposals := r.proposals
-		if len(r.pending) >= maxPendingProposals {
+		if r.unresolved() >= maxPendingProposals {
 			proposals = nil
 		}
 		var err error
@@ -136,7 +137,7 @@
 // sync.
 func (r *Replica) appendProposals(p proposal) {
 	r.appendProposal(p)
-	for len(r.pending) < maxPendingProposals {
+	for r.unresolved() < maxPendingProposals {
 		select {
 		case p := <-r.proposals:
 			r.appendProposal(p)
@@ -168,6 +169,7 @@
 	if err := r.driver.ProcessEffects(); err != nil {
 		return err
 	}
+	r.resolveRecordWaits()
 	r.publishStatus()
 	return nil
 }
--- a/internal/crreplica/simulation_test.go
+++ b/internal/crreplica/simulation_test.go
@@ -57,6 +57,9 @@
 	missedTicks uint64                // ticks that passed while it was paused
 	tickLoss    int                   // its clock loses one tick in tickLoss+1, 0 for none
 	started     bool                  // it has been started before
+	// applied is the last entry that it has applied since it got its present disk, whose
+	// incarnation is incarnation.
+	applied, incarnation uint64
 }
 
 // clusterTerm is a term of a cluster. A founder that loses its disk before anything is
@@ -143,7 +146,12 @@
 	if _, err := n.driver.Open(); err != nil {
 		s.failf("instance %d: %v", n.id, err)
 		n.driver, n.pauseTicks = nil, simFaultTicks
+		return
+	}
+	if n.incarnation == node.Incarnation && node.Status().Applied < n.applied {
+		s.failf("instance %d knows %d entries as committed after a restart, and has applied %d before", n.id, node.Status().Applied, n.applied)
 	}
+	n.applied, n.incarnation = node.Status().Applied, node.Incarnation
 }
 
 // send puts messages into the network, which may lose, delay, duplicate or reorder
@@ -190,6 +198,7 @@
 			c.op.Output, c.op.Return = casOutput{true, old}, s.nextEvent()
 		}
 	}
+	n.applied = max(n.applied, e.Index)
 	s.checkState(n, e.Index)
 }
 
@@ -206,6 +215,7 @@
 
 func (s *sim) restore(n *simNode, snap crquorum.Snapshot) error {
 	err := json.Unmarshal(snap.Data, &n.state)
+	n.applied = max(n.applied, snap.Index)
 	s.checkState(n, snap.Index)
 	return err
 }
@@ -292,6 +302,28 @@
 	}
 	if status.Leading {
 		s.leaders[term] = n.id
+		s.checkRecorded(n)
+	}
+}
+
+// checkRecorded fails unless the entries that a leader takes for recorded by a quorum are
+// known as committed on the disks of a majority of the voters. Voters that are down or have
+// lost their disks since can't tell and count.
+func (s *sim) checkRecorded(leader *simNode) {
+	node := leader.driver.Node
+	voters, known := 0, 0
+	for id, m := range node.Status().Config.Members {
+		if m.Role != crquorum.RoleVoter {
+			continue
+		}
+		voters++
+		n := s.nodes[id-1]
+		if n.driver == nil || n.incarnation != m.Incarnation || n.applied >= node.RecordedCommit() {
+			known++
+		}
+	}
+	if voters > 0 && 2*known <= voters {
+		s.failf("leader %d takes %d entries for recorded, and %d of %d voters have", leader.id, node.RecordedCommit(), known, voters)
 	}
 }
 
--- a/internal/crstore/record.go
+++ b/internal/crstore/record.go
@@ -16,6 +16,7 @@
 	recordHardState
 	recordSnapshot
 	recordEntry
+	recordCommit
 )
 
 // errBadRecord reports a payload that has a valid checksum but can't be decoded.
@@ -41,11 +42,16 @@
 	return binary.AppendUvarint(append(buf, recordIncarnation), incarnation)
 }
 
-// appendHardState appends a hard state record.
+// appendHardState appends a hard state record, followed by a commit record if an entry is
+// committed. Logs of earlier releases have no commit records.
 func appendHardState(buf []byte, h crquorum.HardState) []byte {
 	buf = binary.AppendUvarint(append(buf, recordHardState), h.Term)
 	buf = binary.AppendUvarint(buf, h.Vote)
-	return binary.AppendUvarint(buf, h.Cluster)
+	buf = binary.AppendUvarint(buf, h.Cluster)
+	if h.Commit == 0 {
+		return buf
+	}
+	return binary.AppendUvarint(append(buf, recordCommit), h.Commit)
 }
 
 // appendEntry appends an entry record.
@@ -114,6 +120,8 @@
 			s.Incarnation = r.uvarint()
 		case recordHardState:
 			s.HardState = crquorum.HardState{Term: r.uvarint(), Vote: r.uvarint(), Cluster: r.uvarint()}
+		case recordCommit:
+			s.HardState.Commit = r.uvarint()
 		case recordSnapshot:
 			s.setSnapshot(r)
 		case recordEntry:
--- a/internal/crstore/store_test.go
+++ b/internal/crstore/store_test.go
@@ -59,7 +59,7 @@
 					next.Entries = newEntries(index+1, rnd.IntN(3))
 					err = s.Replace(next.HardState, *next.Snapshot, next.Entries)
 				} else {
-					next.HardState = crquorum.HardState{Term: rnd.Uint64N(9), Vote: 2, Cluster: 3}
+					next.HardState = crquorum.HardState{Term: rnd.Uint64N(9), Vote: 2, Cluster: 3, Commit: rnd.Uint64N(3)}
 					kept := 0
 					if len(want.Entries) > 0 {
 						kept = rnd.IntN(len(want.Entries) + 1)
