crstore: what is read at a start is synced before anything rests on it

Cause: a process that is killed between a write and its sync leaves the frame in the cache. The next one read it as its log and synced nothing; likewise a new log that was renamed without a sync of the folder, to which all later frames would go.

Change: Store.load syncs the file and the folder, torn tail or not. One sync and one of the folder for each start.

--- a/internal/crstore/store.go
+++ b/internal/crstore/store.go
@@ -89,15 +89,29 @@
 	if s.file, err = s.Folder.Append(logName); err != nil {
 		return State{}, err
 	}
-	if state.TornBytes == 0 {
-		return state, nil
-	}
-	if err := errors.Join(s.file.Truncate(end), s.file.Sync()); err != nil {
-		return State{}, errors.Join(fmt.Errorf("truncate torn tail of %s: %w", logName, err), s.file.Close())
+	if err := s.makeDurable(state.TornBytes > 0, end); err != nil {
+		return State{}, errors.Join(err, s.file.Close())
 	}
 	return state, nil
 }
 
+// makeDurable removes a torn tail and syncs the log and its name. A process that was killed
+// may have left its last frame, or the rename of a new log, without a sync.
+func (s *Store) makeDurable(torn bool, end int64) error {
+	if torn {
+		if err := s.file.Truncate(end); err != nil {
+			return fmt.Errorf("truncate torn tail of %s: %w", logName, err)
+		}
+	}
+	if err := s.file.Sync(); err != nil {
+		return fmt.Errorf("sync %s: %w", logName, err)
+	}
+	if err := s.Folder.Sync(); err != nil {
+		return fmt.Errorf("sync the name of %s: %w", logName, err)
+	}
+	return nil
+}
+
 // createLog creates the log of an empty folder.
 func (s *Store) createLog() (State, error) {
 	state := State{}
--- a/internal/crstore/store_test.go
+++ b/internal/crstore/store_test.go
@@ -325,3 +325,59 @@
 		})
 	}
 }
+
+// TestStoreMakesOpenedLogDurable guards against the loss of what an instance relies on: a
+// process is killed between a write and its sync, or between a rename and the sync of the
+// folder, the next one reads what was written, and then the machine loses power.
+func TestStoreMakesOpenedLogDurable(t *testing.T) {
+	for name, tt := range map[string]struct {
+		// rand decides what a crash loses.
+		rand func(n int) int
+		// write writes to the store; the sync after it fails.
+		write func(disk *crdisk.Disk, folder *crstore.Folder, s *crstore.Store) error
+	}{
+		"frame": {
+			rand: func(int) int { return 0 },
+			write: func(disk *crdisk.Disk, _ *crstore.Folder, s *crstore.Store) error {
+				disk.SyncError = syscall.EIO
+				return s.Append(&crquorum.HardState{Term: 3, Commit: 2}, newEntries(2, 1))
+			},
+		},
+		"rename": {
+			rand: func(n int) int { return n - 1 },
+			write: func(_ *crdisk.Disk, folder *crstore.Folder, s *crstore.Store) error {
+				folder.Sync = func() error { return syscall.EIO }
+				return s.Replace(crquorum.HardState{Term: 3}, crquorum.Snapshot{Index: 1, Term: 2}, newEntries(2, 1))
+			},
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			disk := crdisk.New(tt.rand)
+			folder := disk.Folder()
+			s, _, err := openStore(folder)
+			if err == nil {
+				err = s.Append(nil, newEntries(1, 1))
+			}
+			if err != nil {
+				t.Fatal(err)
+			}
+			if err := tt.write(disk, folder, s); !errors.Is(err, syscall.EIO) {
+				t.Fatalf("write: %v, want the error of the sync", err)
+			}
+			_ = s.Close()
+			s, read, err := openStore(disk.Folder())
+			if err != nil {
+				t.Fatal(err)
+			}
+			_ = s.Close()
+			disk.Crash()
+			_, got, err := openStore(disk.Folder())
+			if err != nil {
+				t.Fatal(err)
+			}
+			if d := cmp.Diff(read, got, cmpopts.EquateEmpty()); d != "" {
+				t.Errorf("state after the loss of power (-read before +got):\n%s", d)
+			}
+		})
+	}
+}
