crfeed: a later list of control instances isn't displaced by an earlier one

Cause: a daemon took the list of control instances from any answer, also one that is marked as stale. The order of accepted changes was kept for views and not for this list, which even held configurations that a leader had only appended, and reached daemons only when the leader or the contact with the quorum changed.

Lists of earlier releases, which have no index, are followed as before until there is one.

--- a/internal/crcontrol/statemachine.go
+++ b/internal/crcontrol/statemachine.go
@@ -78,7 +78,7 @@
 	if s.Fresh != prev.Fresh {
 		c.Logf("contact with the quorum: %t", s.Fresh)
 	}
-	c.source.SetControlAddrs(memberAddrs(s))
+	c.source.SetControlAddrs(s.AcceptedAddrs, s.AcceptedIndex)
 	c.metrics.setStatus(s)
 }
 
--- a/internal/crfeed/follower.go
+++ b/internal/crfeed/follower.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"math/rand/v2"
 	"net/url"
-	"slices"
 	"sync"
 	"time"
 
@@ -84,9 +83,8 @@
 	confirmedAt time.Time
 	// provisionalRevision is the revision of the provisional view; 0 for none.
 	provisionalRevision uint64
-	// controlAddrs lists the control instances from the last answer that listed
-	// any.
-	controlAddrs []string
+	// directory holds the control instances that answers have listed.
+	directory Directory
 }
 
 // hint is the address and the reported revision of a peer.
@@ -203,18 +201,12 @@
 	f.Sources = sources
 }
 
-// ControlAddrs returns the control instances to poll: those that the last answer
-// listed, then the remaining ones of Sources.
+// ControlAddrs returns the control instances to poll: those that answers have listed, then
+// the remaining ones of Sources.
 func (f *Follower) ControlAddrs() []string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	addrs := slices.Clone(f.controlAddrs)
-	for _, s := range f.Sources {
-		if !slices.Contains(addrs, s) {
-			addrs = append(addrs, s)
-		}
-	}
-	return addrs
+	return f.directory.Addrs(f.Sources)
 }
 
 // Revision returns the revision of the current view; 0 before the first one.
@@ -347,9 +339,7 @@
 func (f *Follower) apply(feed *crwire.Feed) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if len(feed.Control) > 0 {
-		f.controlAddrs = feed.Control
-	}
+	f.directory.Learn(feed.Control, feed.ControlIndex, feed.Stale)
 	switch {
 	case feed.Stale && f.view.Revision == 0:
 		f.applyProvisional(feed)
--- a/internal/crfeed/handler.go
+++ b/internal/crfeed/handler.go
@@ -87,7 +87,7 @@
 		view = h.Source.View()
 	}
 	if view.Revision <= held {
-		return &Answer{Feed: crwire.Feed{Stale: true, Revision: answer.Feed.Revision, Control: answer.Feed.Control}}
+		return &Answer{Feed: crwire.Feed{Stale: true, Revision: answer.Feed.Revision, Control: answer.Feed.Control, ControlIndex: answer.Feed.ControlIndex}}
 	}
 	return h.provisionalAnswer(answer, view)
 }
@@ -98,9 +98,9 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.provisional == nil || h.provisional.Feed.Snapshot != view || h.provisional.Feed.Revision != answer.Feed.Revision ||
-		!slices.Equal(h.provisional.Feed.Control, answer.Feed.Control) {
+		h.provisional.Feed.ControlIndex != answer.Feed.ControlIndex || !slices.Equal(h.provisional.Feed.Control, answer.Feed.Control) {
 		h.provisional = &Answer{Feed: crwire.Feed{
-			Stale: true, Revision: answer.Feed.Revision, Control: answer.Feed.Control, Snapshot: view,
+			Stale: true, Revision: answer.Feed.Revision, Control: answer.Feed.Control, ControlIndex: answer.Feed.ControlIndex, Snapshot: view,
 		}}
 	}
 	return h.provisional
--- a/internal/crfeed/source.go
+++ b/internal/crfeed/source.go
@@ -32,8 +32,10 @@
 	snapshotAnswer *Answer
 	// changed is closed and replaced when the view changes.
 	changed chan struct{}
-	// controlAddrs lists the control instances that answers include.
+	// controlAddrs lists the control instances that answers include, and controlIndex is
+	// the index of the configuration that they come from. The index never decreases.
 	controlAddrs []string
+	controlIndex uint64
 }
 
 // NewSource returns a source whose current view is v.
@@ -78,14 +80,15 @@
 	s.setView(v)
 }
 
-// SetControlAddrs sets the control instances that answers include.
-func (s *Source) SetControlAddrs(addrs []string) {
+// SetControlAddrs sets the control instances that answers include. index is the index of
+// the accepted configuration that they come from; an earlier one is ignored.
+func (s *Source) SetControlAddrs(addrs []string, index uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if slices.Equal(addrs, s.controlAddrs) {
+	if index < s.controlIndex || index == s.controlIndex && slices.Equal(addrs, s.controlAddrs) {
 		return
 	}
-	s.controlAddrs = addrs
+	s.controlAddrs, s.controlIndex = addrs, index
 	s.resetAnswers()
 }
 
@@ -100,7 +103,7 @@
 // resetAnswers clears the cached answers. The caller must hold mu.
 func (s *Source) resetAnswers() {
 	s.answers = map[uint64]*Answer{}
-	s.snapshotAnswer = &Answer{Feed: crwire.Feed{Revision: s.view.Revision, Control: s.controlAddrs, Snapshot: s.view}}
+	s.snapshotAnswer = &Answer{Feed: crwire.Feed{Revision: s.view.Revision, Control: s.controlAddrs, ControlIndex: s.controlIndex, Snapshot: s.view}}
 }
 
 // PollFeed is like Poll, but returns only the feed, which must not be changed.
@@ -148,7 +151,7 @@
 // mu.
 func (s *Source) makeAnswer(after uint64) *Answer {
 	if after >= s.view.Revision {
-		return &Answer{Feed: crwire.Feed{Revision: s.view.Revision, Control: s.controlAddrs}}
+		return &Answer{Feed: crwire.Feed{Revision: s.view.Revision, Control: s.controlAddrs, ControlIndex: s.controlIndex}}
 	}
 	i, ok := slices.BinarySearchFunc(s.history, after, func(d crwire.Delta, rev uint64) int {
 		return cmp.Compare(d.From, rev)
@@ -161,6 +164,6 @@
 		return s.snapshotAnswer
 	}
 	return &Answer{Feed: crwire.Feed{
-		Revision: s.view.Revision, Control: s.controlAddrs, Deltas: []crwire.Delta{delta},
+		Revision: s.view.Revision, Control: s.controlAddrs, ControlIndex: s.controlIndex, Deltas: []crwire.Delta{delta},
 	}}
 }
--- a/internal/crquorum/log.go
+++ b/internal/crquorum/log.go
@@ -1,6 +1,9 @@
 package crquorum
 
-import "fmt"
+import (
+	"fmt"
+	"slices"
+)
 
 // indexedConfig is a configuration and the index of its entry or snapshot.
 type indexedConfig struct {
@@ -57,6 +60,16 @@
 // configIndex returns the index of the latest configuration.
 func (l *entryLog) configIndex() uint64 { return l.configs[len(l.configs)-1].index }
 
+// configAt returns the latest configuration up to index, empty if there is none.
+func (l *entryLog) configAt(index uint64) indexedConfig {
+	for _, c := range slices.Backward(l.configs) {
+		if c.index <= index {
+			return c
+		}
+	}
+	return indexedConfig{}
+}
+
 // term returns the term of the entry at index; false if it isn't in the log.
 func (l *entryLog) term(index uint64) (uint64, bool) {
 	switch {
--- a/internal/crquorum/node_test.go
+++ b/internal/crquorum/node_test.go
@@ -354,3 +354,28 @@
 		t.Errorf("trailing entries (-want +got):\n%s", diff)
 	}
 }
+
+// TestNodeAcceptedConfig guards against a list of instances that was never accepted: a
+// leader uses a configuration as soon as it is in its log, and may be replaced before a
+// quorum has it.
+func TestNodeAcceptedConfig(t *testing.T) {
+	n := newNode(t)
+	elect(t, n)
+	step(t, n, messageFrom(n, 2, crquorum.Message{Kind: crquorum.KindAppended, Index: n.Status().LastIndex}))
+	index, _, err := n.AddLearner(4, "host:4")
+	if err != nil {
+		t.Fatal(err)
+	}
+	n.Take()
+	n.Synced()
+	before := n.Status()
+	step(t, n, messageFrom(n, 2, crquorum.Message{Kind: crquorum.KindAppended, Index: index}))
+	after := n.Status()
+	got := []int{len(before.Config.Members), len(before.Accepted.Members), len(after.Accepted.Members)}
+	if diff := cmp.Diff([]int{4, 3, 4}, got); diff != "" {
+		t.Errorf("members in the log, accepted before and after the commit (-want +got):\n%s", diff)
+	}
+	if diff := cmp.Diff([]uint64{1, index}, []uint64{before.AcceptedIndex, after.AcceptedIndex}); diff != "" {
+		t.Errorf("index of the accepted configuration (-want +got):\n%s", diff)
+	}
+}
--- a/internal/crquorum/status.go
+++ b/internal/crquorum/status.go
@@ -16,16 +16,22 @@
 	Voting bool
 	// Config is the latest configuration, committed or not.
 	Config Config
+	// Accepted is the latest committed configuration, and AcceptedIndex the index of its
+	// entry or of the snapshot that holds it: of two with different indexes the one with
+	// the higher index isn't the earlier one. Both are empty before the first commit.
+	Accepted      Config
+	AcceptedIndex uint64
 }
 
 // Status returns the current state of the node.
 func (n *Node) Status() Status {
+	accepted := n.log.configAt(n.commit)
 	return Status{
 		Term: n.hardState.Term, Leader: n.leader, Commit: n.commit, Applied: n.applied,
 		SnapshotIndex: n.log.snap.Index, LastIndex: n.log.last(),
 		Cluster: n.hardState.Cluster, Leading: n.phase == phaseLeader,
 		Voting: n.log.config().IsVoter(n.ID, n.Incarnation) && n.log.configIndex() <= n.commit,
-		Config: n.log.config(),
+		Config: n.log.config(), Accepted: accepted.config, AcceptedIndex: accepted.index,
 	}
 }
 
--- a/internal/crreplica/replica.go
+++ b/internal/crreplica/replica.go
@@ -73,7 +73,7 @@
 	// state before the first entry.
 	Restore func(data []byte) error
 	// StatusChanged is called in the replica's goroutine when Status.Leading,
-	// Leader or Fresh has changed.
+	// Leader, Fresh or AcceptedIndex has changed.
 	StatusChanged func(s Status)
 	// Registry registers the metrics; nil for none.
 	Registry *prometheus.Registry
--- a/internal/crreplica/status.go
+++ b/internal/crreplica/status.go
@@ -1,6 +1,7 @@
 package crreplica
 
 import (
+	"slices"
 	"time"
 
 	"cardamomring.dev/internal/crclock"
@@ -33,6 +34,10 @@
 	// Members maps the ID of each member, including learners, to its entry in
 	// the configuration.
 	Members map[uint64]crquorum.Member `json:"members"`
+	// AcceptedAddrs lists the host:port of each member of the latest committed
+	// configuration, sorted. AcceptedIndex is the index of its entry, 0 for none.
+	AcceptedAddrs []string `json:"-"`
+	AcceptedIndex uint64   `json:"-"`
 }
 
 // publishedStatus is the status that other goroutines read.
@@ -67,16 +72,31 @@
 			status.Voters[id] = m.Addr
 		}
 	}
+	status.AcceptedIndex = now.AcceptedIndex
+	status.AcceptedAddrs = r.acceptedAddrs(now)
 	until := r.freshUntil()
 	status.Fresh = crclock.Now() < until
 	old := r.published.Swap(&publishedStatus{status: status, freshUntil: until})
 	r.metrics.setStatus(status)
 	if old == nil || old.status.Leader != now.Leader || old.status.Leading != now.Leading ||
-		old.status.Fresh != status.Fresh {
+		old.status.Fresh != status.Fresh || old.status.AcceptedIndex != status.AcceptedIndex {
 		r.StatusChanged(status)
 	}
 }
 
+// acceptedAddrs returns the sorted addresses of the latest committed configuration.
+func (r *Replica) acceptedAddrs(now crquorum.Status) []string {
+	if old := r.published.Load(); old != nil && old.status.AcceptedIndex == now.AcceptedIndex {
+		return old.status.AcceptedAddrs
+	}
+	var addrs []string
+	for _, m := range now.Accepted.Members {
+		addrs = append(addrs, m.Addr)
+	}
+	slices.Sort(addrs)
+	return addrs
+}
+
 // freshUntil returns the node's FreshUntil as crclock time, 0 if it has passed.
 func (r *Replica) freshUntil() time.Duration {
 	until, now := r.node.FreshUntil(), r.node.Now()
--- a/internal/crwire/view.go
+++ b/internal/crwire/view.go
@@ -46,6 +46,9 @@
 	// Control lists the host:port of the control instances known to the sender;
 	// empty means unknown.
 	Control []string `json:"control,omitempty"`
+	// ControlIndex is the index in the replicated log of the accepted configuration that
+	// Control comes from; 0 if the sender doesn't tell.
+	ControlIndex uint64 `json:"index,omitempty"`
 	// Snapshot is the complete view, if the available deltas do not reach back
 	// to the requested revision.
 	Snapshot *View `json:"snapshot,omitempty"`
