--- a/internal/crfeed/handler.go
+++ b/internal/crfeed/handler.go
@@ -75,8 +75,8 @@
 
 // staleAnswer returns an answer that is marked as stale. A follower that accepts
 // a provisional view sends the revision of the one it has as heldRevision; 0 for
-// none. For such a follower, the answer contains the newer of the view on disk and
-// the current view, if the revision of that view is higher than heldRevision.
+// none. For such a follower, the answer contains the newer of the provisional and the
+// current view, if the revision of that view is higher than heldRevision.
 func (h *Handler) staleAnswer(answer *Answer, heldRevision string) *Answer {
 	held, err := strconv.ParseUint(heldRevision, 10, 64)
 	if err != nil || h.ProvisionalView == nil {
