--- a/internal/crreplica/recorded.go
+++ b/internal/crreplica/recorded.go
@@ -13,7 +13,7 @@
 // ProposeRecorded is Propose, and waits until the disks of a quorum record that the entry is
 // committed. What is acknowledged after that is known as accepted by an instance of each
 // quorum, also if all of them restart at once. It returns at once when this instance ceases
-// to lead: the entry is committed, and the next leader has it recorded.
+// to lead: the entry is committed, and the next leader has it, too.
 func (r *Replica) ProposeRecorded(ctx context.Context, data []byte) (any, error) {
 	return r.propose(ctx, proposal{
 		append:   func() (index, term uint64, err error) { return r.node.Propose(data) },
